--- /dev/null
+++ b/packages/base/src/callerAccount.ts
@@ -0,0 +1,7 @@
+/** An account that callers log in with. */
+export interface CallerAccount {
+    readonly user: string;
+    /** SHA1(SHA1(password)) in hexadecimal, as `mysql_native_password` stores it. */
+    readonly passwordHash: string;
+    readonly defaultClass: string;
+}
--- /dev/null
+++ b/packages/base/src/channel.ts
@@ -0,0 +1,44 @@
+import { Operation } from "./operation";
+import { perform } from "./perform";
+
+/**
+ * An unbounded queue from any number of senders to one or more receiving tasks. Callers bound what they send.
+ * A value handed to a task that is cancelled before its next step is lost with the task.
+ */
+export class Channel<T> {
+    private readonly values: T[] = [];
+    private readonly receivers = new Set<(value: T) => void>();
+
+    private constructor() {}
+
+    public static create<T>(): Channel<T> {
+        return new Channel<T>();
+    }
+
+    public get size(): number {
+        return this.values.length;
+    }
+
+    public send(value: T): void {
+        for (const receiver of this.receivers) {
+            this.receivers.delete(receiver);
+            receiver(value);
+            return;
+        }
+        this.values.push(value);
+    }
+
+    /** Waits for the next value. */
+    public receive(): Operation<T> {
+        return perform<T>({
+            start: resume => {
+                if (this.values.length > 0) {
+                    resume(this.values.shift()!);
+                    return () => {};
+                }
+                this.receivers.add(resume);
+                return () => this.receivers.delete(resume);
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/base/src/race.ts
@@ -0,0 +1,25 @@
+import { Operation } from "./operation";
+import { perform } from "./perform";
+import { Task } from "./task";
+
+/** Runs operations together, returns the value (or throws the error) of the first to end and cancels the others. */
+export function race<T>(operations: readonly Operation<T>[]): Operation<T> {
+    return perform<T>({
+        start: (resume, fail) => {
+            const tasks = operations.map(operation => Task.start(operation));
+            let settled = false;
+            const cancelAll = (): void => {
+                settled = true;
+                for (const task of tasks) task.cancel();
+            };
+            for (const task of tasks) {
+                task.onSettled(() => {
+                    if (settled) return;
+                    cancelAll();
+                    task.deliver(resume, fail);
+                });
+            }
+            return cancelAll;
+        },
+    });
+}
--- /dev/null
+++ b/packages/base/src/rank.ts
@@ -0,0 +1,6 @@
+/** The ranks of classes of work, most urgent first. */
+export enum Rank {
+    Urgent = "urgent",
+    Standard = "standard",
+    Background = "background",
+}
--- /dev/null
+++ b/packages/base/src/signal.ts
@@ -0,0 +1,28 @@
+import { Operation } from "./operation";
+import { perform } from "./perform";
+
+/** Wakes every task that waits at the moment of `notifyAll`. Keeps nothing for tasks that wait later. */
+export class Signal<T> {
+    private readonly waiters = new Set<(value: T) => void>();
+
+    private constructor() {}
+
+    public static create<T>(): Signal<T> {
+        return new Signal<T>();
+    }
+
+    public notifyAll(value: T): void {
+        const waiters = [...this.waiters];
+        this.waiters.clear();
+        for (const waiter of waiters) waiter(value);
+    }
+
+    public wait(): Operation<T> {
+        return perform<T>({
+            start: resume => {
+                this.waiters.add(resume);
+                return () => this.waiters.delete(resume);
+            },
+        });
+    }
+}
--- /dev/null
+++ b/packages/routing/src/ownerRequest.ts
@@ -0,0 +1,24 @@
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Rank } from "@vanillarouter/base/rank";
+import { StatementKind } from "./statementKind";
+
+/** A single statement on its way from an entry VM to the owner of an upstream. */
+export interface OwnerRequest {
+    readonly requestId: string;
+    readonly upstream: string;
+    readonly group: string;
+    readonly className: string;
+    readonly rank: Rank;
+    readonly franchisee: string;
+    readonly kind: StatementKind.Read | StatementKind.Write;
+    readonly sql: string;
+    /** Time left until the caller's deadline when the request was sent, in milliseconds. */
+    readonly timeoutMs: number;
+    /** Entry that the upstream must have applied before a read. */
+    readonly floor?: LogPosition;
+    /** Greatest proven age of data for a read, in milliseconds. Zero asks for the latest acknowledged state. */
+    readonly maxAgeMs?: number;
+    /** Term in which the entry VM believes the upstream to be primary; for writes. */
+    readonly term?: number;
+    readonly repeatable: boolean;
+}
--- /dev/null
+++ b/packages/routing/src/statementRequest.ts
@@ -0,0 +1,18 @@
+/** One statement of a caller with what the caller said about it. Made by the `caller` package. */
+export interface StatementRequest {
+    /** Unique for the request; a retry by the caller carries the same id. */
+    readonly requestId: string;
+    /** Name of the class of work. */
+    readonly className: string;
+    readonly franchisee: string;
+    /** Name of the database group. */
+    readonly group: string;
+    /** The statement without its hint comment. */
+    readonly sql: string;
+    /** Arrival time on the entry VM's clock, in milliseconds. */
+    readonly arrivedAt: number;
+    /** Time from arrival within which the caller wants the answer, in milliseconds. Absent: the target of the class. */
+    readonly timeoutMs?: number;
+    /** Whether the caller allows it to run more than once. */
+    readonly repeatable: boolean;
+}
--- /dev/null
+++ b/packages/routing/src/upstreamConnection.ts
@@ -0,0 +1,25 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { Result } from "ts-results";
+import { UpstreamAnswer } from "./upstreamAnswer";
+
+/**
+ * One connection to an upstream. It executes one statement at a time. A connection whose statement was cancelled or
+ * failed with outcome Unknown must be closed and never used again.
+ */
+export interface UpstreamConnection {
+    readonly isOpen: boolean;
+    /** Runs a single read; refused by the upstream when it has not applied `floor`. */
+    read(sql: string, floor: LogPosition | undefined): Operation<Result<UpstreamAnswer, Failure>>;
+    /** Runs a single write in its own transaction, recording the request id with it. Refused in another term. */
+    write(sql: string, term: number, requestId: string): Operation<Result<UpstreamAnswer, Failure>>;
+    begin(term: number): Operation<Result<void, Failure>>;
+    executeInTransaction(sql: string): Operation<Result<UpstreamAnswer, Failure>>;
+    /** Commits the open transaction, recording the request id with it. Refused in another term. */
+    commit(term: number, requestId: string): Operation<Result<UpstreamAnswer, Failure>>;
+    rollback(): Operation<Result<void, Failure>>;
+    /** Answers a trivial statement. */
+    ping(): Operation<Result<void, Failure>>;
+    close(): void;
+}
--- /dev/null
+++ b/packages/routing/src/upstreamPeer.ts
@@ -0,0 +1,14 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { Result } from "ts-results";
+import { GroupPeer } from "./groupPeer";
+import { UpstreamConnection } from "./upstreamConnection";
+
+/** Makes connections to upstreams. */
+export interface UpstreamPeer {
+    /** Opens a connection for statements. Takes about 10 ms. */
+    connect(upstream: UpstreamSettings, timeoutMs: number): Operation<Result<UpstreamConnection, Failure>>;
+    /** Returns the control side of an upstream, which keeps one connection of its own and reopens it when it fails. */
+    openGroupPeer(upstream: UpstreamSettings): GroupPeer;
+}
