Add MySQL listener for callers with hints, login and draining

The server side of mysql2 checks no password, prints a line for each packet out of order, reserves no room for the info text of an OK packet and reads connection attributes up to a length that the client states. The listener checks each packet before mysql2 sees it, so none of these reaches the process.

--- /dev/null
+++ b/packages/caller/src/answerSelect.ts
@@ -0,0 +1,53 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Err, Ok, Result } from "ts-results";
+import { CallerVariables } from "./callerVariables";
+import { createTextResult } from "./createTextResult";
+import { Diagnostics } from "./diagnostics";
+import { serverVersion } from "./serverVersion";
+import { splitList } from "./splitList";
+import { systemVariables } from "./systemVariables";
+
+const longestStatement = 2048;
+const selection = /^select\s+(.+?)(?:\s+limit\s+\d+)?\s*;?$/is;
+const item =
+    /^(@@(?:session\.|global\.)?\w+|@\w+|(?:database|schema|version|connection_id|user|current_user|session_user)\(\)|1)(?:\s+(?:as\s+)?[`'"]?(\w+)[`'"]?)?$/i;
+
+function readFunction(variables: CallerVariables, name: string): string | undefined {
+    if (name === "1") return "1";
+    if (name === "version()") return serverVersion;
+    if (name === "connection_id()") return String(variables.connectionId);
+    if (name === "database()" || name === "schema()") return variables.database === "" ? undefined : variables.database;
+    return `${variables.user}@%`;
+}
+
+function readValue(variables: CallerVariables, name: string): Result<string | undefined, Failure> {
+    if (name === "@vr_token") return Ok(variables.token);
+    if (name.startsWith("@@")) {
+        const value = systemVariables.get(name.replace(/^@@(session\.|global\.)?/, ""));
+        return value === undefined ? Err(createFailure(Diagnostics.unknownVariable, RunOutcome.DidNotRun, name)) : Ok(value);
+    }
+    return Ok(name.startsWith("@") ? variables.findUserVariable(name.slice(1)) : readFunction(variables, name));
+}
+
+/**
+ * Answers a SELECT that names only variables and functions of the connection, as clients send when they connect.
+ * Returns undefined for every other SELECT.
+ */
+export function answerSelect(variables: CallerVariables, sql: string): Result<StatementResult, Failure> | undefined {
+    const list = sql.length > longestStatement ? undefined : selection.exec(sql)?.[1];
+    if (list === undefined || /\bfrom\b/i.test(list)) return undefined;
+    const names: string[] = [];
+    const values: (string | undefined)[] = [];
+    for (const text of splitList(list)) {
+        const parts = item.exec(text);
+        if (parts === null) return undefined;
+        const value = readValue(variables, parts[1]!.toLowerCase());
+        if (value.err) return value;
+        names.push(parts[2] ?? parts[1]!);
+        values.push(value.val);
+    }
+    return Ok(createTextResult(names, [values]));
+}
--- /dev/null
+++ b/packages/caller/src/answerSet.ts
@@ -0,0 +1,61 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err, Ok, Result } from "ts-results";
+import { CallerVariables } from "./callerVariables";
+import { Diagnostics } from "./diagnostics";
+import { splitList } from "./splitList";
+
+const assignment = /^(@@?)?(?:(?:session|local)[\s.]\s*)?([\w.]+)\s*:?=\s*(.+)$/is;
+const maxShownLength = 60;
+
+/** Variables that clients set when they connect and whose value changes nothing here. */
+const ignoredVariables = new Set([
+    "character_set_client",
+    "character_set_connection",
+    "character_set_results",
+    "collation_connection",
+    "interactive_timeout",
+    "net_read_timeout",
+    "net_write_timeout",
+    "session_track_schema",
+    "session_track_system_variables",
+    "sql_auto_is_null",
+    "sql_mode",
+    "wait_timeout",
+]);
+
+function refuse(text: string): Result<void, Failure> {
+    return Err(createFailure(Diagnostics.unsupportedStatement, RunOutcome.DidNotRun, `SET ${text.slice(0, maxShownLength)}`));
+}
+
+/** Reads a quoted or plain value; undefined stands for NULL, DEFAULT and the empty text. */
+function readValue(text: string): string | undefined {
+    const quoted = /^(['"`])(.*)\1$/s.exec(text);
+    if (quoted !== null) return quoted[2] === "" ? undefined : quoted[2];
+    return /^(null|default)$/i.test(text) ? undefined : text;
+}
+
+function setSystemVariable(name: string, value: string | undefined, text: string): Result<void, Failure> {
+    if (name === "autocommit") return /^(1|on|true)$/i.test(value ?? "") ? Ok(undefined) : refuse(text);
+    return ignoredVariables.has(name) ? Ok(undefined) : refuse(text);
+}
+
+function assign(variables: CallerVariables, item: string): Result<void, Failure> {
+    const names = /^(?:names|character\s+set|charset)\s+['"]?(\w+)['"]?(?:\s+collate\s+['"]?\w+['"]?)?$/i.exec(item);
+    if (names !== null) return variables.selectCharacterSet(names[1]!.toLowerCase());
+    const parts = assignment.exec(item);
+    if (parts === null) return refuse(item);
+    const value = readValue(parts[3]!.trim());
+    const name = parts[2]!.toLowerCase();
+    return parts[1] === "@" ? variables.setUserVariable(name, value) : setSystemVariable(name, value, item);
+}
+
+/** Runs a SET statement, given without its first word. Nothing it sets reaches an upstream. */
+export function answerSet(variables: CallerVariables, text: string): Result<void, Failure> {
+    for (const item of splitList(text)) {
+        const assigned = assign(variables, item);
+        if (assigned.err) return assigned;
+    }
+    return Ok(undefined);
+}
--- /dev/null
+++ b/packages/caller/src/callerConnection.ts
@@ -0,0 +1,234 @@
+import { Channel } from "@vanillarouter/base/channel";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
+import { Err, Ok, Result } from "ts-results";
+import { CallerCommand } from "./callerCommand";
+import { CallerServices } from "./callerServices";
+import { checkLoginPacket } from "./checkLoginPacket";
+import { CommandCode } from "./commandCode";
+import { CommandRunner } from "./commandRunner";
+import { ConnectionState } from "./connectionState";
+import { Diagnostics } from "./diagnostics";
+import { encodeErrorPacket } from "./encodeErrorPacket";
+import { encodeOkPacket } from "./encodeOkPacket";
+import { formatCallerError } from "./formatCallerError";
+import { InboundPacket } from "./inboundPacket";
+import { LoginAttempt } from "./loginAttempt";
+import { mysqlErrorNumbers } from "./mysqlErrorNumbers";
+import { protocolConstants } from "./protocolConstants";
+import { ServerConnection } from "./serverConnection";
+import { serverVersion } from "./serverVersion";
+import { verifyNativePassword } from "./verifyNativePassword";
+
+const maxPendingCommands = 16;
+const readChunkBytes = 65_536;
+const closeGraceMs = 1000;
+const encodings: ReadonlyMap<string, string> = new Map([
+    ["utf8mb4", "utf8"],
+    ["utf8mb3", "utf8"],
+    ["utf8", "utf8"],
+    ["ascii", "ascii"],
+    ["latin1", "latin1"],
+    ["binary", "latin1"],
+]);
+
+/** One connection of a caller, from its handshake to its end. Nothing that it receives affects another connection. */
+export class CallerConnection {
+    private readonly commands = Channel.create<CallerCommand>();
+    private runner: CommandRunner | undefined;
+    private task: Task<void> | undefined;
+    private cancelLoginTimer: () => void;
+    private bytesSincePacket = 0;
+    private isClosing = false;
+    private isDraining = false;
+
+    private constructor(
+        private readonly connection: ServerConnection,
+        private readonly services: CallerServices,
+        private readonly id: number,
+        private readonly createRequestId: () => string,
+        private readonly onClosed: (closed: CallerConnection) => void,
+    ) {
+        const timeoutMs = services.limits.loginTimeoutMs;
+        const expire = (): void => this.refuse(createFailure(Diagnostics.loginTimedOut, RunOutcome.DidNotRun, timeoutMs));
+        this.cancelLoginTimer = services.clock.startTimer(timeoutMs, expire);
+    }
+
+    /** Starts to serve a connection that `mysql2` accepted. `onClosed` is called once when it has ended. */
+    public static create(
+        connection: ServerConnection,
+        services: CallerServices,
+        id: number,
+        createRequestId: () => string,
+        onClosed: (closed: CallerConnection) => void,
+    ): CallerConnection {
+        const created = new CallerConnection(connection, services, id, createRequestId, onClosed);
+        created.start();
+        return created;
+    }
+
+    /** Closes the connection as soon as no statement and no transaction is in progress on it. */
+    public drain(): void {
+        this.isDraining = true;
+        this.closeIfDrained();
+    }
+
+    /** Ends the connection at once; a statement in progress is cancelled. */
+    public destroy(): void {
+        this.connection.stream.destroy();
+    }
+
+    /** Writes a failure that ends the connection. A client whose statement is running would take it for its answer. */
+    public refuse(refusal: Failure): void {
+        if (this.isClosing) return;
+        const failure = this.runner?.isRunning === true ? { ...refusal, outcome: RunOutcome.Unknown } : refusal;
+        this.services.counters.add("vr_caller_refused_total", `code="${failure.code}"`);
+        this.services.logger.info({ connection: this.id, code: failure.code, reason: failure.message }, "caller.refused");
+        const isWritable = this.connection.stream.writable;
+        if (isWritable) this.connection.writePacket(encodeErrorPacket(findErrorNumber(failure), formatCallerError(failure)));
+        this.close();
+    }
+
+    private start(): void {
+        const { stream } = this.connection;
+        stream.setNoDelay(true);
+        stream.on("close", () => this.end());
+        this.connection.on("error", err => this.services.logger.debug({ connection: this.id, err: String(err) }, "caller.connection_error"));
+        const forward = this.connection.handlePacket;
+        this.connection.handlePacket = packet => this.acceptPacket(packet, forward);
+        stream.on("data", chunk => this.countBytes(chunk.length));
+        this.connection.serverHandshake({
+            protocolVersion: protocolConstants.protocolVersion,
+            serverVersion,
+            connectionId: this.id,
+            statusFlags: protocolConstants.statusAutocommit,
+            characterSet: protocolConstants.utf8mb4CharacterSet,
+            capabilityFlags: protocolConstants.capabilities,
+            authCallback: attempt => this.finishLogin(attempt),
+        });
+    }
+
+    /** Bounds what `mysql2` keeps of a packet that is not complete. */
+    private countBytes(count: number): void {
+        this.bytesSincePacket += count;
+        const allowed = this.runner === undefined ? readChunkBytes : this.services.limits.maxStatementBytes + readChunkBytes;
+        if (this.bytesSincePacket <= allowed) return;
+        if (this.runner !== undefined) this.connection.sequenceId = 1;
+        this.refuse(createFailure(Diagnostics.statementTooLarge, RunOutcome.DidNotRun, allowed - readChunkBytes));
+    }
+
+    private acceptPacket(packet: InboundPacket | undefined, forward: (packet: InboundPacket | undefined) => void): void {
+        if (packet === undefined) {
+            forward.call(this.connection, packet);
+            return;
+        }
+        if (this.isClosing) return;
+        this.bytesSincePacket = 0;
+        if (packet.sequenceId !== this.connection.sequenceId) {
+            this.refuse(createFailure(Diagnostics.packetOutOfOrder, RunOutcome.DidNotRun, packet.sequenceId, this.connection.sequenceId));
+            return;
+        }
+        if (this.runner !== undefined) this.acceptCommand(packet);
+        else if (checkLoginPacket(packet)) forward.call(this.connection, packet);
+        else this.refuse(createFailure(Diagnostics.malformedLogin, RunOutcome.DidNotRun));
+    }
+
+    /**
+     * Queues a command for the task. The expected number of the next packet stays 0, as every command begins with it,
+     * even while an answer is pending.
+     */
+    private acceptCommand(packet: InboundPacket): void {
+        const code = packet.readInt8();
+        if (code === CommandCode.Quit) {
+            this.close();
+            return;
+        }
+        if (code === CommandCode.StatementClose || code === CommandCode.StatementSendLongData) return;
+        if (this.commands.size >= maxPendingCommands) {
+            this.connection.sequenceId = 1;
+            this.refuse(createFailure(Diagnostics.tooManyPending, RunOutcome.DidNotRun, maxPendingCommands));
+            return;
+        }
+        const isTooLarge = packet.length() > this.services.limits.maxStatementBytes + protocolConstants.headerBytes;
+        const hasText = !isTooLarge && (code === CommandCode.Query || code === CommandCode.InitDatabase);
+        const text = hasText ? packet.readString(undefined, this.connection.clientHelloReply?.encoding ?? "utf8") : "";
+        this.commands.send({ code, text, arrivedAt: this.services.clock.now(), isTooLarge });
+    }
+
+    private finishLogin(attempt: LoginAttempt): void {
+        this.cancelLoginTimer();
+        const runner = this.logIn(attempt);
+        if (runner.err) {
+            this.refuse(runner.val);
+            return;
+        }
+        this.connection.writePacket(encodeOkPacket(0, 0, protocolConstants.statusAutocommit, ""));
+        this.connection.sequenceId = 0;
+        this.runner = runner.val;
+        this.task = Task.start(this.runner.run(this.commands, () => this.closeIfDrained()));
+        this.task.onSettled(() => this.close());
+    }
+
+    private logIn(attempt: LoginAttempt): Result<CommandRunner, Failure> {
+        const configuration = this.services.configuration.current;
+        if (configuration === undefined) return Err(createFailure(RoutingDiagnostics.noConfiguration, RunOutcome.DidNotRun));
+        if (this.isDraining) return Err(createFailure(Diagnostics.shuttingDown, RunOutcome.DidNotRun));
+        const account = configuration.accounts.get(attempt.user);
+        const isCorrect = account !== undefined && verifyNativePassword(attempt, account.passwordHash);
+        if (!isCorrect) return Err(createFailure(Diagnostics.accessDenied, RunOutcome.DidNotRun, attempt.user.slice(0, 64)));
+        const encoding = this.connection.clientHelloReply?.encoding;
+        const selected = this.selectEncoding(encoding === "cesu8" ? "utf8" : encoding ?? "");
+        if (selected.err) return selected;
+        const session = this.services.entry.openSession();
+        const state = ConnectionState.create(attempt.user, this.id, session, this.services.configuration, name => this.selectEncoding(name));
+        const attributes = state.setAttributes(this.connection.clientHelloReply?.connectAttributes ?? {});
+        if (attributes.err) return attributes;
+        const database = attempt.database ?? "";
+        const opened = database === "" ? Ok(undefined) : state.selectDatabase(database);
+        if (opened.err) return opened;
+        return Ok(CommandRunner.create(this.connection, this.services, state, session, account.defaultClass, this.createRequestId));
+    }
+
+    private selectEncoding(name: string): Result<void, Failure> {
+        const encoding = encodings.get(name);
+        const { clientHelloReply, serverConfig } = this.connection;
+        if (encoding === undefined || clientHelloReply === undefined || serverConfig === undefined) {
+            return Err(createFailure(Diagnostics.unsupportedCharacterSet, RunOutcome.DidNotRun, name.slice(0, 40)));
+        }
+        clientHelloReply.encoding = encoding;
+        serverConfig.encoding = encoding;
+        return Ok(undefined);
+    }
+
+    /** A client that has already sent its next command reads this failure as the answer, and the command did not run. */
+    private closeIfDrained(): void {
+        if (!this.isDraining || this.runner?.isIdle === false || this.commands.size > 0) return;
+        this.refuse(createFailure(Diagnostics.shuttingDown, RunOutcome.DidNotRun));
+    }
+
+    /** Ends the connection and drops what still arrives, so that the last answer is not lost to a reset. */
+    private close(): void {
+        if (this.isClosing) return;
+        this.isClosing = true;
+        const { stream } = this.connection;
+        stream.removeAllListeners("data");
+        stream.resume();
+        stream.end();
+        const cancelTimer = this.services.clock.startTimer(closeGraceMs, () => stream.destroy());
+        stream.on("close", cancelTimer);
+    }
+
+    private end(): void {
+        this.isClosing = true;
+        this.cancelLoginTimer();
+        this.task?.cancel();
+        this.onClosed(this);
+    }
+}
+
+function findErrorNumber(failure: Failure): number {
+    return mysqlErrorNumbers.byCode.get(failure.code) ?? mysqlErrorNumbers.unknownError;
+}
--- /dev/null
+++ b/packages/caller/src/callerListener.test.ts
@@ -0,0 +1,237 @@
+import { Configuration } from "@vanillarouter/base/configuration";
+import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { createLogger } from "@vanillarouter/base/createLogger";
+import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { SystemClock } from "@vanillarouter/base/systemClock";
+import { Task } from "@vanillarouter/base/task";
+import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
+import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { Connection, createConnection } from "mysql2/promise";
+import * as assert from "node:assert/strict";
+import { createHash } from "node:crypto";
+import { connect } from "node:net";
+import { after, afterEach, before, beforeEach, test } from "node:test";
+import { Err, Ok } from "ts-results";
+import { CallerListener } from "./callerListener";
+import { createTextResult } from "./createTextResult";
+
+const maxStatementBytes = 100_000;
+const passwordHash = createHash("sha1").update(createHash("sha1").update("secret").digest()).digest("hex");
+const configuration: Configuration = {
+    version: 1,
+    classes: new Map([["orders", { name: "orders", rank: Rank.Urgent, targetMs: 100, readOnly: false }]]),
+    accounts: new Map([["shop", { user: "shop", passwordHash, defaultClass: "orders" }]]),
+    groups: new Map([["stock", { name: "stock", upstreams: [] }], ["sales", { name: "sales", upstreams: [] }]]),
+};
+
+const requests: StatementRequest[] = [];
+const attached: string[] = [];
+let release = Signal.create<void>();
+let closed = { sessions: 0 };
+let listener: CallerListener;
+let port = 0;
+const opened: Connection[] = [];
+const printed: unknown[] = [];
+const originals = { error: console.error, log: console.log, trace: console.trace };
+
+function openSession(): CallerSession {
+    const counted = closed;
+    const session = {
+        token: "t0",
+        inTransaction: false,
+        attach: (options: { name?: string; token?: string; }) => {
+            attached.push(`${options.name}/${options.token}`);
+            return Ok(undefined);
+        },
+        *execute(req: StatementRequest): ReturnType<CallerSession["execute"]> {
+            requests.push(req);
+            if (req.sql === "WAIT") yield* release.wait();
+            if (req.sql === "THROW") throw new Error("broken session");
+            if (req.sql === "REFUSE") return Err(createFailure(RoutingDiagnostics.noPrimary, RunOutcome.DidNotRun, "stock"));
+            if (req.sql === "BEGIN" || req.sql === "COMMIT") session.inTransaction = req.sql === "BEGIN";
+            if (req.sql.startsWith("SELECT")) return Ok({ result: createTextResult(["a", "b"], [["é", undefined], ["2", ""]]) });
+            return Ok({ result: { ...createTextResult([], []), affectedRows: 3, insertId: 70_000 }, token: "t1" });
+        },
+        *close(): ReturnType<CallerSession["close"]> {
+            counted.sessions++;
+        },
+    };
+    return session;
+}
+
+function open(options: object = {}): Promise<Connection> {
+    const opening = createConnection({ host: "127.0.0.1", port, user: "shop", password: "secret", database: "stock", ...options });
+    return opening.then(connection => {
+        opened.push(connection);
+        connection.on("error", () => {});
+        return connection;
+    });
+}
+
+/** Sends raw bytes after the server's greeting and returns what arrives until the server closes. */
+function sendRaw(bytes: Buffer, ending = false): Promise<string> {
+    return new Promise(resolve => {
+        const received: Buffer[] = [];
+        const socket = connect(port, "127.0.0.1");
+        socket.once("data", () => ending ? socket.end(bytes) : socket.write(bytes));
+        socket.on("data", chunk => received.push(chunk));
+        socket.on("error", () => {});
+        socket.on("close", () => resolve(Buffer.concat(received).toString("latin1")));
+    });
+}
+
+function frame(payload: Buffer, sequence: number): Buffer {
+    const header = Buffer.alloc(4);
+    header.writeUIntLE(payload.length, 0, 3);
+    header[3] = sequence;
+    return Buffer.concat([header, payload]);
+}
+
+before(() => {
+    for (const name of ["error", "log", "trace"] as const) console[name] = (...args) => printed.push(args);
+});
+after(() => Object.assign(console, originals));
+beforeEach(async () => {
+    requests.length = 0;
+    attached.length = 0;
+    closed = { sessions: 0 };
+    release = Signal.create<void>();
+    listener = CallerListener.create({
+        configuration: { current: configuration, changed: Signal.create() },
+        entry: { openSession },
+        clock: SystemClock.create(),
+        logger: createLogger("test", "fatal"),
+        latencies: LatencyMetrics.create(),
+        counters: CounterMetrics.create(),
+        limits: { maxConnections: 5, maxStatementBytes, loginTimeoutMs: 300 },
+    });
+    port = await listener.listen("127.0.0.1", 0);
+});
+afterEach(async () => {
+    for (const connection of opened.splice(0)) connection.destroy();
+    listener.close();
+    assert.deepEqual(printed, [], "mysql2 must not print warnings about packet numbers or unknown commands");
+});
+
+test("answers rows, NULL and the empty text apart, and counts and token of a write", async () => {
+    const connection = await open();
+    assert.deepEqual((await connection.query({ sql: "SELECT a", rowsAsArray: true }))[0], [["é", null], ["2", ""]]);
+    const [written] = await connection.query("INSERT INTO t VALUES (1)");
+    const { affectedRows, insertId, info } = written as { affectedRows: number; insertId: number; info: string; };
+    assert.deepEqual([affectedRows, insertId], [3, 70_000]);
+    assert.match(info, /vr_token=t1$/);
+    assert.deepEqual(requests.map(req => [req.className, req.franchisee, req.group, req.repeatable]), [
+        ["orders", "shop", "stock", true],
+        ["orders", "shop", "stock", false],
+    ]);
+    assert.notEqual(requests[0]!.requestId, requests[1]!.requestId);
+});
+
+test("a comment takes precedence over attributes, attributes over variables, variables over defaults", async () => {
+    const connection = await open({ connectAttributes: { vr_franchisee: "f-attribute", vr_session: "s1" } });
+    await connection.query("SET @vr_class = 'orders', @vr_franchisee = 'f-variable', @vr_deadline = 250, @vr_req = 'r7'");
+    await connection.query("INSERT 1");
+    await connection.query("/*vr franchisee=f-comment session=s2 token=abc req=6f1c repeatable */ INSERT 2");
+    assert.deepEqual(requests.map(req => [req.franchisee, req.timeoutMs, req.repeatable, req.sql]), [
+        ["f-attribute", 250, false, "INSERT 1"],
+        ["f-comment", 250, true, "INSERT 2"],
+    ]);
+    assert.deepEqual(requests.map(req => req.requestId), ["f-attribute:r7", "f-comment:6f1c"]);
+    assert.deepEqual(attached, ["s1/undefined", "s2/abc"]);
+    await connection.query("INSERT 3");
+    assert.notEqual(requests[2]!.requestId, "f-attribute:r7", "a request id set as variable counts once");
+});
+
+test("malformed hints, state on shared connections and unknown commands get numbered errors and reach no session", async () => {
+    const connection = await open();
+    const refused: readonly (readonly [string, RegExp])[] = [
+        ["/*vr class=a b=c*/ SELECT 1 FROM t", /^\[vr-1105\].*did not run/],
+        ["/*vr class=orders SELECT 1 FROM t", /^\[vr-1105\]/],
+        ["/*vr once*/ /*vr term=7*/ SELECT 1 FROM t", /^\[vr-1105\]/],
+        ["/*vr deadline=-1*/ SELECT 1 FROM t", /^\[vr-1105\]/],
+        ["SET autocommit = 0", /^\[vr-1107\]/],
+        ["SET @other = 1", /^\[vr-1113\]/],
+        ["LOCK TABLES t WRITE", /^\[vr-1107\]/],
+        ["USE nowhere", /^\[vr-1201\]/],
+        [`SELECT '${"x".repeat(maxStatementBytes)}'`, /^\[vr-1104\]/],
+    ];
+    for (const [sql, message] of refused) await assert.rejects(connection.query(sql), { message });
+    await assert.rejects(connection.execute("SELECT ?", [1]), /\[vr-1106\]/);
+    assert.deepEqual(requests, []);
+    await assert.rejects(connection.query("REFUSE"), /^Error: \[vr-1203\] database group stock has no primary \(did not run\)$/);
+});
+
+test("what clients send when they connect is answered without an upstream", async () => {
+    const connection = await open({ database: undefined });
+    const statements = ["SET NAMES utf8mb4", "SET autocommit=1, sql_mode=concat(@@sql_mode,',STRICT_TRANS_TABLES')", "SELECT @@version_comment LIMIT 1"];
+    for (const sql of [...statements, "SHOW WARNINGS", "SHOW VARIABLES LIKE 'max_%'", "SELECT 1", "USE sales"]) await connection.query(sql);
+    await connection.ping();
+    const [rows] = await connection.query("SELECT DATABASE() AS db, @vr_token, @@session.autocommit AS ac");
+    assert.deepEqual(rows, [{ db: "sales", "@vr_token": "t0", ac: "1" }]);
+    assert.deepEqual(requests, []);
+});
+
+test("a wrong password, user or database is refused and others go on", async () => {
+    const other = await open();
+    await assert.rejects(open({ password: "wrong" }), /\[vr-1100\] access denied/);
+    await assert.rejects(open({ password: "" }), /\[vr-1100\]/);
+    await assert.rejects(open({ user: "nobody" }), /\[vr-1100\]/);
+    await assert.rejects(open({ database: "nowhere" }), /\[vr-1201\]/);
+    await assert.rejects(open({ connectAttributes: { vr_class: "a b" } }), /\[vr-1105\]/);
+    await other.query("SELECT a");
+    const filling = [await open(), await open(), await open(), await open()];
+    await assert.rejects(open(), /\[vr-1102\]/);
+    assert.equal(filling.length, 4);
+});
+
+test("garbage, false lengths, partial packets and silence end their connection only", async () => {
+    const other = await open();
+    const login = Buffer.alloc(44);
+    login.writeUInt32LE(0x38aa0d);
+    const endlessAttributes = Buffer.concat([login.subarray(0, 36), Buffer.from("fe00000000000000010000", "hex")]);
+    assert.match(await sendRaw(frame(Buffer.from("garbage"), 1)), /\[vr-1108\]/);
+    assert.match(await sendRaw(frame(endlessAttributes, 1)), /\[vr-1108\]/, "a false length of attributes must not occupy the process");
+    assert.match(await sendRaw(Buffer.from("GET / HTTP/1.1\r\n\r\n")), /\[vr-1101\]/);
+    assert.match(await sendRaw(frame(login, 7)), /\[vr-1103\]/);
+    assert.match(await sendRaw(Buffer.concat([Buffer.from([0xff, 0xff, 0xff, 1]), Buffer.alloc(200_000)])), /\[vr-1104\]/);
+    await sendRaw(frame(login, 1).subarray(0, 20), true);
+    await other.query("SELECT a");
+});
+
+test("an unexpected exception ends its connection only and its session is closed", async () => {
+    const other = await open();
+    const connection = await open();
+    await assert.rejects(connection.query("THROW"), /\[vr-1114\].*unknown outcome/);
+    await other.query("SELECT a");
+    await assert.rejects(connection.query("SELECT a"));
+    assert.equal(closed.sessions, 1);
+});
+
+test("a caller that disconnects has its statement cancelled and its session closed", async () => {
+    const connection = await open();
+    connection.query("WAIT").catch(() => {});
+    while (requests.length === 0) await new Promise(resolve => setImmediate(resolve));
+    connection.destroy();
+    while (closed.sessions === 0) await new Promise(resolve => setImmediate(resolve));
+});
+
+test("draining finishes statements and transactions in progress and tells idle callers that nothing ran", async () => {
+    const [idle, busy, inTransaction] = [await open(), await open(), await open()];
+    const idleError = new Promise<Error>(resolve => idle.on("error", resolve));
+    await inTransaction.query("BEGIN");
+    const pending = busy.query("INSERT 1").then(() => busy.query("WAIT"));
+    while (requests.length < 3) await new Promise(resolve => setImmediate(resolve));
+    const drained = Task.start(listener.drain(5000)).toPromise();
+    assert.match((await idleError).message, /\[vr-1112\]/);
+    await assert.rejects(open());
+    release.notifyAll();
+    await pending;
+    await inTransaction.query("INSERT 2");
+    await inTransaction.query("COMMIT");
+    assert.equal(await drained, 0);
+});
--- /dev/null
+++ b/packages/caller/src/callerServices.ts
@@ -0,0 +1,18 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
+import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
+import * as bunyan from "bunyan";
+import { CallerLimits } from "./callerLimits";
+import { SessionFactory } from "./sessionFactory";
+
+/** What all caller connections of a VM share. */
+export interface CallerServices {
+    readonly configuration: ConfigurationSource;
+    readonly entry: SessionFactory;
+    readonly clock: Clock;
+    readonly logger: bunyan;
+    readonly latencies: LatencyMetrics;
+    readonly counters: CounterMetrics;
+    readonly limits: CallerLimits;
+}
--- /dev/null
+++ b/packages/caller/src/commandRunner.ts
@@ -0,0 +1,216 @@
+import { Channel } from "@vanillarouter/base/channel";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
+import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { Err, Ok, Result } from "ts-results";
+import { answerLocally } from "./answerLocally";
+import { CallerCommand } from "./callerCommand";
+import { CallerServices } from "./callerServices";
+import { CommandCode } from "./commandCode";
+import { ConnectionState } from "./connectionState";
+import { createTextResult } from "./createTextResult";
+import { Diagnostics } from "./diagnostics";
+import { encodeErrorPacket } from "./encodeErrorPacket";
+import { formatCallerError } from "./formatCallerError";
+import { Hint } from "./hint";
+import { isRead } from "./isRead";
+import { mysqlErrorNumbers } from "./mysqlErrorNumbers";
+import { parseHintComment } from "./parseHintComment";
+import { protocolConstants } from "./protocolConstants";
+import { ServerConnection } from "./serverConnection";
+import { writeResult } from "./writeResult";
+
+const success: StatementAnswer = { result: createTextResult([], []) };
+
+/** Runs the commands of a logged-in connection one after another and writes their answers. */
+export class CommandRunner {
+    private isBusy = false;
+
+    private constructor(
+        private readonly connection: ServerConnection,
+        private readonly services: CallerServices,
+        private readonly state: ConnectionState,
+        private readonly session: CallerSession,
+        private readonly loginClass: string,
+        private readonly createRequestId: () => string,
+    ) {}
+
+    /** `loginClass` is the default class of the account at login. */
+    public static create(
+        connection: ServerConnection,
+        services: CallerServices,
+        state: ConnectionState,
+        session: CallerSession,
+        loginClass: string,
+        createRequestId: () => string,
+    ): CommandRunner {
+        return new CommandRunner(connection, services, state, session, loginClass, createRequestId);
+    }
+
+    /** Whether a command is in progress. */
+    public get isRunning(): boolean {
+        return this.isBusy;
+    }
+
+    /** Whether neither a command nor a transaction is in progress. */
+    public get isIdle(): boolean {
+        return !this.isBusy && !this.session.inTransaction;
+    }
+
+    /** Runs until it is cancelled, or until a command ends with an unexpected error. */
+    public *run(commands: Channel<CallerCommand>, onAnswered: () => void): Operation<void> {
+        try {
+            let isHealthy = true;
+            while (isHealthy) {
+                const command = yield* commands.receive();
+                this.isBusy = true;
+                isHealthy = yield* this.runGuarded(command);
+                this.isBusy = false;
+                onAnswered();
+            }
+        }
+        finally {
+            yield* this.session.close();
+        }
+    }
+
+    private *runGuarded(command: CallerCommand): Operation<boolean> {
+        try {
+            const answer = yield* this.runCommand(command);
+            this.writeAnswer(command, answer);
+            if (this.connection.stream.writableNeedDrain) yield* this.waitUntilWritten();
+            return true;
+        }
+        catch (err) {
+            const failure = createFailure(Diagnostics.connectionTaskFailed, RunOutcome.Unknown, String(err));
+            this.services.logger.error({ code: failure.code, err: err instanceof Error ? err.stack : String(err) }, "caller.task_failed");
+            this.writeAnswer(command, Err(failure));
+            return false;
+        }
+    }
+
+    private *runCommand(command: CallerCommand): Operation<Result<StatementAnswer, Failure>> {
+        if (command.isTooLarge) {
+            return Err(createFailure(Diagnostics.statementTooLarge, RunOutcome.DidNotRun, this.services.limits.maxStatementBytes));
+        }
+        switch (command.code) {
+            case CommandCode.Query:
+                return yield* this.runStatement(command);
+            case CommandCode.InitDatabase:
+                return this.state.selectDatabase(command.text).map(() => success);
+            case CommandCode.Ping:
+            case CommandCode.SetOption:
+                return Ok(success);
+            case CommandCode.ResetConnection:
+                return yield* this.resetConnection(command);
+            default:
+                return Err(createFailure(Diagnostics.unsupportedCommand, RunOutcome.DidNotRun, command.code));
+        }
+    }
+
+    private *resetConnection(command: CallerCommand): Operation<Result<StatementAnswer, Failure>> {
+        const { arrivedAt } = command;
+        const answer = this.session.inTransaction
+            ? yield* this.session.execute(this.createRequest(this.state.resolveHint({}), "ROLLBACK", arrivedAt))
+            : Ok(success);
+        if (answer.ok) this.state.reset();
+        return answer;
+    }
+
+    private *runStatement(command: CallerCommand): Operation<Result<StatementAnswer, Failure>> {
+        const parsed = parseHintComment(command.text);
+        if (parsed.err) return parsed;
+        const { sql } = parsed.val;
+        const local = this.answerLocally(parsed.val.hint, sql);
+        if (local !== undefined) return local;
+        const hint = this.state.resolveHint(parsed.val.hint);
+        const attached = this.state.attach(hint);
+        if (attached.err) return attached;
+        if (this.state.database === "") return Err(createFailure(Diagnostics.noDatabaseSelected, RunOutcome.DidNotRun));
+        const req = this.createRequest(hint, sql, command.arrivedAt);
+        const answer = yield* this.session.execute(req);
+        this.recordAnswer(req, answer);
+        return answer;
+    }
+
+    private answerLocally(statementHint: Hint, sql: string): Result<StatementAnswer, Failure> | undefined {
+        if (statementHint.session !== undefined || statementHint.token !== undefined) {
+            const attached = this.state.attach(statementHint);
+            if (attached.err) return attached;
+        }
+        const answer = answerLocally(this.state, sql);
+        return answer?.map((result: StatementResult): StatementAnswer => ({ result }));
+    }
+
+    /** Request ids of callers are unique for a franchisee only; those made here are unique by themselves. */
+    private createRequest(hint: Hint, sql: string, arrivedAt: number): StatementRequest {
+        const { user, database } = this.state;
+        const defaultClass = this.services.configuration.current?.accounts.get(user)?.defaultClass ?? this.loginClass;
+        const franchisee = hint.franchisee ?? user;
+        const requestId = hint.requestId === undefined ? this.createRequestId() : `${encodeURIComponent(franchisee)}:${hint.requestId}`;
+        return {
+            requestId,
+            className: hint.className ?? defaultClass,
+            franchisee,
+            group: database,
+            sql,
+            arrivedAt,
+            timeoutMs: hint.timeoutMs,
+            repeatable: hint.repeatable ?? isRead(sql),
+        };
+    }
+
+    private recordAnswer(req: StatementRequest, answer: Result<StatementAnswer, Failure>): void {
+        const workClass = this.services.configuration.current?.classes.get(req.className);
+        const labels = workClass === undefined ? "class=\"\",rank=\"\"" : `class="${workClass.name}",rank="${workClass.rank}"`;
+        this.services.latencies.record(labels, this.services.clock.now() - req.arrivedAt);
+        const outcome = answer.ok ? "answered" : answer.val.outcome;
+        this.services.counters.add("vr_statements_total", `${labels},outcome="${outcome}"`);
+        if (answer.err) this.services.counters.add("vr_statement_failures_total", `code="${answer.val.code}"`);
+    }
+
+    private writeAnswer(command: CallerCommand, answer: Result<StatementAnswer, Failure>): void {
+        const { connection } = this;
+        if (!connection.stream.writable) return;
+        connection.stream.cork();
+        connection.sequenceId = 1;
+        if (answer.err) this.writeFailure(answer.val);
+        else if (command.code === CommandCode.SetOption) connection.writeEof(0, this.statusFlags);
+        else writeResult(connection, answer.val.result, this.statusFlags, formatInfo(answer.val));
+        connection.sequenceId = 0;
+        connection.stream.uncork();
+    }
+
+    private writeFailure(failure: Failure): void {
+        const errorNumber = mysqlErrorNumbers.byCode.get(failure.code) ?? mysqlErrorNumbers.unknownError;
+        this.connection.writePacket(encodeErrorPacket(errorNumber, formatCallerError(failure)));
+    }
+
+    private get statusFlags(): number {
+        return protocolConstants.statusAutocommit | (this.session.inTransaction ? protocolConstants.statusInTransaction : 0);
+    }
+
+    /** Keeps a caller that does not read its answers from filling the memory. */
+    private waitUntilWritten(): Operation<void> {
+        const { stream } = this.connection;
+        return perform<void>({
+            start: resume => {
+                const listener = (): void => resume();
+                stream.once("drain", listener);
+                return () => stream.off("drain", listener);
+            },
+        });
+    }
+}
+
+function formatInfo(answer: StatementAnswer): string {
+    const { info } = answer.result;
+    if (answer.token === undefined) return info;
+    return `${info === "" ? "" : `${info} `}vr_token=${answer.token}`;
+}
--- /dev/null
+++ b/packages/caller/src/createTextResult.ts
@@ -0,0 +1,15 @@
+import { ResultColumn } from "@vanillarouter/base/resultColumn";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+
+const varStringType = 253;
+const utf8CharacterSet = 45;
+const columnLength = 1024;
+
+function createColumn(name: string): ResultColumn {
+    return { name, type: varStringType, flags: 0, length: columnLength, characterSet: utf8CharacterSet };
+}
+
+/** Makes the answer to a statement that the entry VM answers itself. Without columns it stands for plain success. */
+export function createTextResult(columns: readonly string[], rows: readonly (readonly (string | undefined)[])[]): StatementResult {
+    return { columns: columns.map(createColumn), rows, affectedRows: 0, insertId: 0, info: "" };
+}
--- /dev/null
+++ b/packages/caller/src/inboundPacket.ts
@@ -0,0 +1,15 @@
+/** A packet as the server side of `mysql2` receives it. Valid only during the call that passes it. */
+export interface InboundPacket {
+    readonly sequenceId: number;
+    readonly end: number;
+    offset: number;
+    /** Number of bytes with the header of four bytes. */
+    length(): number;
+    clone(): InboundPacket;
+    skip(count: number): void;
+    readInt8(): number;
+    readInt32(): number;
+    readNullTerminatedString(encoding: string): string;
+    readLengthCodedNumber(): unknown;
+    readString(byteLength: number | undefined, encoding: string): string;
+}
--- /dev/null
+++ b/packages/caller/src/parseHintComment.ts
@@ -0,0 +1,48 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err, Ok, Result } from "ts-results";
+import { addHintValue } from "./addHintValue";
+import { Diagnostics } from "./diagnostics";
+import { Hint } from "./hint";
+import { HintedStatement } from "./hintedStatement";
+
+const emptyHint: Hint = {};
+const opening = /^\/\*vr\b/;
+const openingLength = "/*vr".length;
+
+function refuse(text: string): Result<HintedStatement, Failure> {
+    return Err(createFailure(Diagnostics.malformedHint, RunOutcome.DidNotRun, text));
+}
+
+function parseWords(text: string): Result<Hint, Failure> {
+    let hint = emptyHint;
+    const seen = new Set<string>();
+    for (const word of text.split(/\s+/)) {
+        if (word === "") continue;
+        const separator = word.indexOf("=");
+        const key = separator < 0 ? word : word.slice(0, separator);
+        if (seen.has(key)) return Err(createFailure(Diagnostics.malformedHint, RunOutcome.DidNotRun, `${key.slice(0, 40)} is repeated`));
+        seen.add(key);
+        const added = addHintValue(hint, key, separator < 0 ? "" : word.slice(separator + 1));
+        if (added.err) return added;
+        hint = added.val;
+    }
+    return Ok(hint);
+}
+
+/**
+ * Splits a statement into its hint comment, if it begins with one, and the rest. A second comment of this kind is
+ * refused, because upstreams read such a comment at the start of a statement as an instruction of an owner.
+ */
+export function parseHintComment(text: string): Result<HintedStatement, Failure> {
+    const statement = text.trim();
+    if (!opening.test(statement)) return Ok({ hint: emptyHint, sql: statement });
+    const end = statement.indexOf("*/");
+    if (end < 0) return refuse("the comment has no end");
+    const hint = parseWords(statement.slice(openingLength, end));
+    if (hint.err) return hint;
+    const sql = statement.slice(end + 2).trimStart();
+    if (opening.test(sql)) return refuse("only one hint comment is allowed");
+    return Ok({ hint: hint.val, sql });
+}
--- /dev/null
+++ b/packages/caller/src/serverConnection.ts
@@ -0,0 +1,39 @@
+import { Socket } from "node:net";
+import { InboundPacket } from "./inboundPacket";
+import { LoginAttempt } from "./loginAttempt";
+import { OutboundPacket } from "./outboundPacket";
+import { ProtocolColumn } from "./protocolColumn";
+
+/** The parts of a server-side connection of `mysql2` that this package uses; its type files omit most of them. */
+export interface ServerConnection {
+    readonly stream: Socket;
+    /** Number of the next packet in either direction. */
+    sequenceId: number;
+    /** Called with each complete packet. Replaced by this package to check packets before `mysql2` reacts to them. */
+    handlePacket(packet: InboundPacket | undefined): void;
+    /** Present once the login packet was read. */
+    readonly clientHelloReply?: {
+        encoding?: string;
+        readonly connectAttributes?: Readonly<Record<string, string>>;
+    };
+    /** Present once the handshake began; `encoding` is that of names and values sent to the client. */
+    readonly serverConfig?: { encoding: string; };
+    serverHandshake(args: {
+        readonly protocolVersion: number;
+        readonly serverVersion: string;
+        readonly connectionId: number;
+        readonly statusFlags: number;
+        readonly characterSet: number;
+        readonly capabilityFlags: number;
+        readonly authCallback: (
+            attempt: LoginAttempt,
+            done: (err: undefined, refusal?: { readonly message: string; readonly code: number; }) => void,
+        ) => void;
+    }): void;
+    writePacket(packet: OutboundPacket): void;
+    writeColumns(columns: readonly ProtocolColumn[]): void;
+    /** SQL NULL is written for null only; undefined would be written as an empty text. */
+    writeTextRow(values: readonly (string | null)[]): void;
+    writeEof(warnings: number, statusFlags: number): void;
+    on(event: "error", listener: (err: Error) => void): void;
+}
--- /dev/null
+++ b/packages/caller/src/sessionFactory.ts
@@ -0,0 +1,6 @@
+import { CallerSession } from "@vanillarouter/routing/callerSession";
+
+/** The entry role as the listener uses it. */
+export interface SessionFactory {
+    openSession(): CallerSession;
+}
--- /dev/null
+++ b/packages/caller/src/systemVariables.ts
@@ -0,0 +1,33 @@
+import { serverVersion } from "./serverVersion";
+
+/** Values of the system variables that common clients read when they connect. */
+export const systemVariables: ReadonlyMap<string, string> = new Map([
+    ["version", serverVersion],
+    ["version_comment", "vanillarouter"],
+    ["autocommit", "1"],
+    ["auto_increment_increment", "1"],
+    ["character_set_client", "utf8mb4"],
+    ["character_set_connection", "utf8mb4"],
+    ["character_set_results", "utf8mb4"],
+    ["character_set_server", "utf8mb4"],
+    ["collation_connection", "utf8mb4_general_ci"],
+    ["collation_server", "utf8mb4_general_ci"],
+    ["init_connect", ""],
+    ["interactive_timeout", "28800"],
+    ["license", "unknown"],
+    ["lower_case_table_names", "0"],
+    ["max_allowed_packet", "16777216"],
+    ["net_buffer_length", "16384"],
+    ["net_write_timeout", "60"],
+    ["performance_schema", "0"],
+    ["query_cache_size", "0"],
+    ["query_cache_type", "OFF"],
+    ["sql_mode", "STRICT_TRANS_TABLES"],
+    ["system_time_zone", "UTC"],
+    ["time_zone", "SYSTEM"],
+    ["transaction_isolation", "REPEATABLE-READ"],
+    ["transaction_read_only", "0"],
+    ["tx_isolation", "REPEATABLE-READ"],
+    ["tx_read_only", "0"],
+    ["wait_timeout", "28800"],
+]);
