Add platform client, configuration editor and platform stand-in

The store is met through the Consul HTTP API. A change is one transaction of compare-and-swap and audit record; repeating it after a lost reply is harmless because the versions no longer match once it took effect. packages/platform now references packages/standins for its tests.

--- /dev/null
+++ b/packages/platform/src/applyEdits.ts
@@ -0,0 +1,21 @@
+import { ConfigurationEdit } from "./configurationEdit";
+import { ConfigurationShard } from "./configurationShard";
+import { findShard } from "./findShard";
+import { ShardItem } from "./shardItem";
+
+/** Returns the edited shards as they are after the edits, with their old versions. */
+export function applyEdits(
+    shards: ReadonlyMap<string, ConfigurationShard>,
+    edits: readonly ConfigurationEdit[],
+    changeId: string,
+): ReadonlyMap<string, ConfigurationShard> {
+    const edited = new Map<string, Map<string, ShardItem>>();
+    for (const edit of edits) {
+        const name = findShard(edit.section, edit.name);
+        const items = edited.get(name) ?? new Map(shards.get(name)!.items);
+        if (edit.value === undefined) items.delete(edit.name);
+        else items.set(edit.name, { changeId, value: edit.value });
+        edited.set(name, items);
+    }
+    return new Map([...edited].map(([name, items]) => [name, { ...shards.get(name)!, changeId, items }]));
+}
--- /dev/null
+++ b/packages/platform/src/auditRecord.ts
@@ -0,0 +1,11 @@
+import { AuditEdit } from "./auditEdit";
+
+/** One change in the audit trail. It is written in the same store transaction as the change, so it exists only for changes that took effect. */
+export interface AuditRecord {
+    readonly changeId: string;
+    readonly author: string;
+    /** Time on the clock of the VM that made the change, in ISO 8601 form. */
+    readonly time: string;
+    readonly outcome: "applied";
+    readonly edits: readonly AuditEdit[];
+}
--- /dev/null
+++ b/packages/platform/src/checkEntry.ts
@@ -0,0 +1,12 @@
+import { ConfigurationSection } from "./configurationSection";
+import { entrySchemas } from "./entrySchemas";
+
+/** Returns every fault of an entry with its path, such as `classes.orders.targetMs: ...`; none for a valid entry. */
+export function checkEntry(section: ConfigurationSection, name: string, value: unknown): readonly string[] {
+    const parsed = entrySchemas[section].safeParse(value);
+    const path = `${section}.${name}`;
+    if (!parsed.success) return parsed.error.issues.map(issue => `${[path, ...issue.path].join(".")}: ${issue.message}`);
+    const key = section === ConfigurationSection.Accounts ? "user" : "name";
+    const ownName = (parsed.data as Readonly<Record<string, unknown>>)[key];
+    return ownName === name ? [] : [`${path}.${key}: must be ${name}`];
+}
--- /dev/null
+++ b/packages/platform/src/configurationEditor.test.ts
@@ -0,0 +1,121 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { SystemClock } from "@vanillarouter/base/systemClock";
+import { Task } from "@vanillarouter/base/task";
+import { PlatformServer } from "@vanillarouter/standins/platformServer";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationChange } from "./configurationChange";
+import { ConfigurationConflict } from "./configurationConflict";
+import { ConfigurationEditor } from "./configurationEditor";
+import { ConfigurationSection } from "./configurationSection";
+import { Diagnostics } from "./diagnostics";
+import { PlatformClient } from "./platformClient";
+
+const orders = { name: "orders", rank: "urgent", targetMs: 200, readOnly: false };
+
+function setOrders(author: string, targetMs: number, expectedChangeId?: string): ConfigurationChange {
+    return { author, edits: [{ section: ConfigurationSection.Classes, name: "orders", value: { ...orders, targetMs }, expectedChangeId }] };
+}
+
+function run<T>(operation: Operation<T>): Promise<T> {
+    return Task.start(operation).toPromise();
+}
+
+async function withEditor(body: (editor: ConfigurationEditor, server: PlatformServer, client: PlatformClient) => Promise<void>): Promise<void> {
+    const clock = SystemClock.create();
+    const server = PlatformServer.create({ clock, port: 0 });
+    const client = PlatformClient.create({ host: "127.0.0.1", port: await server.listen() });
+    try {
+        await body(ConfigurationEditor.create({ store: client, clock, random: SeededRandom.create(7), readWallTime: Date.now }), server, client);
+    }
+    finally {
+        client.close();
+        await server.close();
+    }
+}
+
+test("P9: a change whose reply was lost is recognized by its id and made once (guards against a repeated or disowned change)", () =>
+    withEditor(async (editor, server) => {
+        server.setFaults({ loseReplies: 1 });
+        const receipt = (await run(editor.apply(setOrders("ana", 150)))).unwrap();
+        const history = (await run(editor.readHistory(10))).unwrap();
+        assert.deepEqual(history.map(record => record.changeId), [receipt.changeId]);
+        assert.deepEqual(history[0]?.edits[0]?.after, { ...orders, targetMs: 150 });
+    }));
+
+test("P9: the later of two racing operators gets a conflict with the change in between (guards against last write wins)", () =>
+    withEditor(async (editor, server, client) => {
+        const seen = (await run(editor.apply(setOrders("ana", 100)))).unwrap().changeId;
+        const winner = (await run(editor.apply(setOrders("ana", 150, seen)))).unwrap().changeId;
+        const loser = await run(editor.apply(setOrders("bor", 300, seen)));
+        assert.equal(loser.err && loser.val.code, Diagnostics.configurationConflict.code);
+        const [conflict] = (loser.val as { readonly details: readonly ConfigurationConflict[]; }).details;
+        assert.equal(conflict?.currentChangeId, winner);
+        assert.equal(conflict?.change?.author, "ana");
+        assert.deepEqual(conflict?.change?.edits[0]?.before, { ...orders, targetMs: 100 });
+        const naive = JSON.stringify({ changeId: "naive", items: { orders: { changeId: "naive", value: { ...orders, targetMs: 300 } } } });
+        const versionRead = (await run(client.read("vanillarouter/config/classes", 1_000))).unwrap()!.version;
+        await run(editor.apply(setOrders("ana", 160)));
+        const written = (await run(client.commit([{ kind: "cas", key: "vanillarouter/config/classes", version: versionRead, value: naive }], 1_000))).unwrap();
+        assert.equal(written.committed, false, "a writer with an old version must not win");
+        assert.equal((await run(editor.readHistory(10))).unwrap().length, 3);
+    }));
+
+test("P9: two operators who write at the same moment: one succeeds, one gets the conflict (guards against a lost update)", () =>
+    withEditor(async editor => {
+        const seen = (await run(editor.apply(setOrders("ana", 100)))).unwrap().changeId;
+        const results = await Promise.all([run(editor.apply(setOrders("ana", 110, seen))), run(editor.apply(setOrders("bor", 120, seen)))]);
+        assert.deepEqual(results.map(result => result.ok).sort(), [false, true]);
+        const failure = results.find(result => result.err)!;
+        assert.equal(failure.err && failure.val.code, Diagnostics.configurationConflict.code);
+    }));
+
+test("operators who edit different entries of one shard at the same moment both succeed (guards against conflicts that are none)", () =>
+    withEditor(async editor => {
+        const edit = (name: string): ConfigurationChange => ({
+            author: name,
+            edits: [{ section: ConfigurationSection.Classes, name, value: { ...orders, name }, expectedChangeId: "" }],
+        });
+        const results = await Promise.all(["a", "b", "c"].map(name => run(editor.apply(edit(name)))));
+        assert.deepEqual(results.map(result => result.ok), [true, true, true]);
+    }));
+
+test("bad values are refused with every path and change nothing (guards against a configuration that VMs cannot use)", () =>
+    withEditor(async editor => {
+        const bad = await run(editor.apply({
+            author: "ana",
+            edits: [
+                { section: ConfigurationSection.Classes, name: "orders", value: { ...orders, rank: "highest", targetMs: -1 } },
+                { section: ConfigurationSection.Groups, name: "g1", value: { name: "g2", upstreams: [] } },
+            ],
+        }));
+        assert.equal(bad.err && bad.val.code, Diagnostics.configurationInvalid.code);
+        for (const path of ["classes.orders.rank", "classes.orders.targetMs", "groups.g1.upstreams"]) {
+            assert.match(String(bad.err && bad.val.message), new RegExp(path));
+        }
+        const account = { user: "app", passwordHash: "0".repeat(40), defaultClass: "none" };
+        const dangling = await run(editor.apply({ author: "ana", edits: [{ section: ConfigurationSection.Accounts, name: "app", value: account }] }));
+        assert.equal(dangling.err && dangling.val.code, Diagnostics.unknownAccountClass.code);
+        assert.deepEqual((await run(editor.readHistory(10))).unwrap(), []);
+    }));
+
+test("a shard above a megabyte is refused before it reaches the store (guards against a shard that no VM can load)", () =>
+    withEditor(async (editor, server) => {
+        const edits = Array.from({ length: 9_000 }, (_, index) => ({
+            section: ConfigurationSection.Classes,
+            name: `class-${index}`,
+            value: { ...orders, name: `class-${index}` },
+        }));
+        const large = await run(editor.apply({ author: "ana", edits }));
+        assert.equal(large.err && large.val.code, Diagnostics.shardTooLarge.code);
+        assert.equal(server.counters.writes, 0);
+    }));
+
+test("during a store outage a change fails in bounded time as not run or unknown, never as done (guards against a false receipt)", () =>
+    withEditor(async (editor, server) => {
+        server.setFaults({ outage: "refuse" });
+        const result = await run(editor.apply({ ...setOrders("ana", 100), timeoutMs: 300 }));
+        assert.equal(result.err && result.val.outcome, RunOutcome.DidNotRun);
+    }));
--- /dev/null
+++ b/packages/platform/src/listedVm.ts
@@ -0,0 +1,9 @@
+/** A VM as the platform lists it. */
+export interface ListedVm {
+    readonly id: string;
+    readonly zone: string;
+    readonly host: string;
+    readonly heartbeatPort: number;
+    readonly linkPort: number;
+    readonly leaving: boolean;
+}
--- /dev/null
+++ b/packages/platform/src/mergeShards.ts
@@ -0,0 +1,22 @@
+import { CallerAccount } from "@vanillarouter/base/callerAccount";
+import { Configuration } from "@vanillarouter/base/configuration";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { WorkClass } from "@vanillarouter/base/workClass";
+import { ConfigurationSection } from "./configurationSection";
+import { ConfigurationShard } from "./configurationShard";
+import { findSection } from "./findSection";
+
+/** Puts checked shards together to the configuration that they hold. */
+export function mergeShards(shards: Iterable<ConfigurationShard>): Configuration {
+    const classes = new Map<string, WorkClass>();
+    const accounts = new Map<string, CallerAccount>();
+    const groups = new Map<string, DatabaseGroup>();
+    const targets: Readonly<Record<ConfigurationSection, Map<string, unknown>>> = { classes, accounts, groups };
+    let version = 0;
+    for (const shard of shards) {
+        version += shard.version;
+        const target = targets[findSection(shard.name)];
+        for (const [name, item] of shard.items) target.set(name, item.value);
+    }
+    return { version, classes, accounts, groups };
+}
--- /dev/null
+++ b/packages/platform/src/parseShard.ts
@@ -0,0 +1,29 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err, Ok, Result } from "ts-results";
+import { z } from "zod";
+import { checkEntry } from "./checkEntry";
+import { ConfigurationShard } from "./configurationShard";
+import { Diagnostics } from "./diagnostics";
+import { findSection } from "./findSection";
+
+const schema = z.object({ changeId: z.string(), items: z.record(z.string(), z.object({ changeId: z.string(), value: z.unknown() })) });
+
+/** Reads a shard from its stored text, checking every entry. */
+export function parseShard(name: string, text: string, version: number): Result<ConfigurationShard, Failure> {
+    let document: unknown;
+    try {
+        document = JSON.parse(text);
+    }
+    catch (err) {
+        return Err(createFailure(Diagnostics.shardUnreadable, RunOutcome.DidNotRun, name, String(err)));
+    }
+    const parsed = schema.safeParse(document);
+    if (!parsed.success) return Err(createFailure(Diagnostics.shardUnreadable, RunOutcome.DidNotRun, name, parsed.error.message));
+    const items = new Map(Object.entries(parsed.data.items));
+    const section = findSection(name);
+    const faults = [...items].flatMap(([key, item]) => checkEntry(section, key, item.value));
+    if (faults.length > 0) return Err(createFailure(Diagnostics.shardUnreadable, RunOutcome.DidNotRun, name, faults.join("; ")));
+    return Ok({ name, version, changeId: parsed.data.changeId, items });
+}
--- /dev/null
+++ b/packages/platform/src/shardNames.ts
@@ -0,0 +1,8 @@
+const groupShardCount = 16;
+
+/** Names of all shards of the configuration. The set is fixed: a VM is complete once it has every one. */
+export const shardNames: readonly string[] = [
+    "classes",
+    "accounts",
+    ...Array.from({ length: groupShardCount }, (_, index) => `groups-${String(index).padStart(2, "0")}`),
+];
