--- a/packages/platform/src/platformClient.ts
+++ b/packages/platform/src/platformClient.ts
@@ -132,9 +132,10 @@
     }
 
     /** Reads the platform's list of VMs. Entries in an unknown form are left out. */
-    public *readVms(timeoutMs: number): Operation<Result<readonly ListedVm[], Failure>> {
-        const service = this.options.service ?? defaultService;
-        const answer = yield* this.call("vms", timeoutMs, ctx => this.consul.health.service({ service, stale: true, ctx, timeout: timeoutMs } as never));
+    public *readVms(timeoutMs: number, zone?: string): Operation<Result<readonly ListedVm[], Failure>> {
+        const request = { service: this.options.service ?? defaultService, stale: true, timeout: timeoutMs };
+        const filter = zone === undefined ? {} : { filter: `Service.Meta.zone == ${JSON.stringify(zone)}` };
+        const answer = yield* this.call("vms", timeoutMs, ctx => this.consul.health.service({ ...request, ...filter, ctx } as never));
         if (answer.error !== undefined) return Err(this.describe("VM list", answer, RunOutcome.DidNotRun));
         if (!Array.isArray(answer.value)) return Err(createFailure(Diagnostics.storeAnswerInvalid, RunOutcome.DidNotRun, "VM list"));
         return Ok(answer.value.map(readListedVm).filter(vm => vm !== undefined));
--- a/packages/platform/src/vmList.ts
+++ b/packages/platform/src/vmList.ts
@@ -5,5 +5,6 @@
 
 /** The platform's list of VMs. It lags behind, so it gives seeds and hints and never decides who is alive. */
 export interface VmList {
-    readVms(timeoutMs: number): Operation<Result<readonly ListedVm[], Failure>>;
+    /** Reads the whole list, or that of one zone. */
+    readVms(timeoutMs: number, zone?: string): Operation<Result<readonly ListedVm[], Failure>>;
 }
--- a/packages/standins/src/platformRoutes.ts
+++ b/packages/standins/src/platformRoutes.ts
@@ -30,10 +30,16 @@
         if (path.startsWith("/v1/kv/")) this.handleKey(decodeURIComponent(path.slice("/v1/kv/".length)), url.searchParams, method, body, res, send);
         else if (path === "/v1/txn" && method === "PUT") this.handleTransaction(body, send);
         else if (path.startsWith("/v1/session/") && method === "PUT") this.handleSession(path.slice("/v1/session/".length), body, send);
-        else if (path.startsWith("/v1/health/service/") && method === "GET") send(200, this.readVms().map(formatService));
+        else if (path.startsWith("/v1/health/service/") && method === "GET") send(200, this.listServices(url.searchParams.get("filter")));
         else send(404, "unknown endpoint");
     }
 
+    /** Of filter expressions it knows the one for the zone. */
+    private listServices(filter: string | null): readonly unknown[] {
+        const zone = /^Service\.Meta\.zone == "(.*)"$/.exec(filter ?? "")?.[1];
+        return this.readVms().filter(service => zone === undefined || service.zone === zone).map(formatService);
+    }
+
     private handleKey(
         key: string,
         query: URLSearchParams,
--- /dev/null
+++ b/packages/vm/src/configurationSpread.ts
@@ -0,0 +1,127 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { checkEntry } from "@vanillarouter/platform/checkEntry";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
+import { findSection } from "@vanillarouter/platform/findSection";
+import { ConfigurationReplica } from "./configurationReplica";
+import { PeerCalls } from "./peerCalls";
+import { readShardDocument } from "./readShardDocument";
+import { ShardDelta } from "./shardDelta";
+
+interface ConfigurationSpreadOptions {
+    readonly replica: ConfigurationReplica;
+    readonly peers: PeerCalls;
+    readonly clock: Clock;
+    /** VMs that news are passed on to. */
+    readonly listNeighbours: () => readonly VmDescription[];
+    readonly findVm: (id: string) => VmDescription | undefined;
+    readonly onRejected: (shard: string, version: number, source: string, cause: Failure | string) => void;
+}
+
+/** Time in which a push normally arrives; only a difference that lasts longer is worth a pull. */
+const pushGraceMs = 500;
+const pullIntervalMs = 1_000;
+const freshPullIntervalMs = 100;
+const maxPushes = 16;
+
+/**
+ * Spreads the configuration between VMs: news are pushed as differences along fixed neighbours, and whoever sees
+ * another mark in a heartbeat pulls what it lacks, which repairs pushes that were lost and serves VMs that start anew.
+ */
+export class ConfigurationSpread {
+    private readonly tasks: TaskGroup;
+    private differsSince: number | undefined;
+    private lastPullAt: number | undefined;
+    private pulling = false;
+
+    private constructor(private readonly options: ConfigurationSpreadOptions) {
+        this.tasks = TaskGroup.create(err => options.onRejected("", 0, "task", String(err)));
+    }
+
+    public static create(options: ConfigurationSpreadOptions): ConfigurationSpread {
+        return new ConfigurationSpread(options);
+    }
+
+    /** Takes a shard over if it is newer than the known one and passes it on. Returns whether it was. */
+    public accept(shard: ConfigurationShard): boolean {
+        const delta = this.options.replica.accept(shard);
+        if (delta === undefined) return false;
+        if (delta.fromVersion >= 0) this.push(delta);
+        return true;
+    }
+
+    /** Takes differences that another VM pushed; one that does not fit starts a pull from that VM. */
+    public acceptPush(deltas: readonly ShardDelta[], from: string): void {
+        let missing = false;
+        for (const delta of deltas) {
+            const known = this.options.replica.find(delta.name);
+            if (known !== undefined && known.version >= delta.version) continue;
+            const shard = this.options.replica.apply(delta);
+            if (shard === undefined) missing = true;
+            else if (this.checkDelta(delta, from)) this.accept(shard);
+        }
+        const sender = this.options.findVm(from);
+        if (missing && sender !== undefined) this.startPull(sender);
+    }
+
+    /** Notes the mark of another VM's configuration, and pulls when it has differed for a while. */
+    public noteMark(sender: VmDescription, mark: number): void {
+        const { clock, replica } = this.options;
+        if (mark === replica.mark || mark === 0) {
+            if (mark !== 0) this.differsSince = undefined;
+            return;
+        }
+        const now = clock.now();
+        this.differsSince ??= now;
+        if (replica.isComplete && now - this.differsSince < pushGraceMs) return;
+        const intervalMs = replica.isComplete ? pullIntervalMs : freshPullIntervalMs;
+        if (this.lastPullAt === undefined || now - this.lastPullAt >= intervalMs) this.startPull(sender);
+    }
+
+    /** Cancels transfers that are under way. */
+    public close(): Operation<void> {
+        return this.tasks.cancelAll();
+    }
+
+    private checkDelta(delta: ShardDelta, from: string): boolean {
+        const section = findSection(delta.name);
+        const faults = Object.entries(delta.set).flatMap(([name, item]) => checkEntry(section, name, item.value));
+        if (faults.length > 0) this.options.onRejected(delta.name, delta.version, from, faults.join("; "));
+        return faults.length === 0;
+    }
+
+    private push(delta: ShardDelta): void {
+        if (this.tasks.size >= maxPushes) return;
+        for (const vm of this.options.listNeighbours()) this.tasks.start(this.options.peers.pushShards(vm, [delta]));
+    }
+
+    private startPull(source: VmDescription): void {
+        if (this.pulling) return;
+        this.pulling = true;
+        this.lastPullAt = this.options.clock.now();
+        this.tasks.start(this.pull(source));
+    }
+
+    private *pull(source: VmDescription): Operation<void> {
+        const { peers, replica } = this.options;
+        try {
+            const digest = yield* peers.readDigest(source);
+            if (digest.err) return;
+            const names = replica.findOlder(digest.val);
+            if (names.length === 0) return;
+            const documents = yield* peers.pullShards(source, names);
+            if (documents.err) return;
+            for (const document of documents.val) {
+                const shard = readShardDocument(document);
+                if (shard.ok) this.accept(shard.val);
+                else this.options.onRejected(document.name, document.version, source.id, shard.val);
+            }
+        }
+        finally {
+            this.pulling = false;
+        }
+    }
+}
--- /dev/null
+++ b/packages/vm/src/createLinkRouter.ts
@@ -0,0 +1,36 @@
+import { initTRPC } from "@trpc/server";
+import { LinkContext } from "./linkContext";
+import { PeerServices } from "./peerServices";
+import { requestSchemas } from "./requestSchemas";
+import { toWireAnswer } from "./toWireAnswer";
+
+/** Makes the `trpc` router that serves the roles of this VM to others. */
+// eslint-disable-next-line @typescript-eslint/explicit-function-return-type -- the client's types are inferred from the router.
+export function createLinkRouter(services: PeerServices) {
+    const t = initTRPC.context<LinkContext>().create();
+    const owner = t.router({
+        execute: t.procedure.input(requestSchemas.execute).mutation(({ input }) => toWireAnswer(services.owner.execute(input))),
+        begin: t.procedure.input(requestSchemas.begin).mutation(({ input, ctx }) => {
+            ctx.transactions.add(input.requestId, input.upstream);
+            return toWireAnswer(services.owner.begin(input));
+        }),
+        statement: t.procedure.input(requestSchemas.statement).mutation(({ input }) => toWireAnswer(services.owner.executeInTransaction(input))),
+        end: t.procedure.input(requestSchemas.end).mutation(async ({ input, ctx }) => {
+            const answer = await toWireAnswer(services.owner.endTransaction(input));
+            if ("value" in answer) ctx.transactions.remove(input.transactionId);
+            return answer;
+        }),
+        resolve: t.procedure.input(requestSchemas.resolve).mutation(({ input }) => toWireAnswer(services.owner.resolveOutcome(input))),
+        confirm: t.procedure.input(requestSchemas.confirm).mutation(({ input }) =>
+            toWireAnswer(services.owner.confirmPosition(input.group, input.upstream, input.timeoutMs))
+        ),
+    });
+    const configuration = t.router({
+        digest: t.procedure.query(() => services.readDigest()),
+        pull: t.procedure.input(requestSchemas.pull).mutation(({ input }) => services.pullShards(input.names)),
+        push: t.procedure.input(requestSchemas.push).mutation(({ input }) => services.pushShards(input.deltas, input.from)),
+    });
+    const members = t.router({ exchange: t.procedure.input(requestSchemas.members).mutation(({ input }) => services.exchangeMembers(input)) });
+    const groups = t.router({ exchange: t.procedure.input(requestSchemas.groups).mutation(({ input }) => services.exchangeGroups(input)) });
+    return t.router({ owner, configuration, members, groups });
+}
--- /dev/null
+++ b/packages/vm/src/findNeighbours.ts
@@ -0,0 +1,23 @@
+import { hashName } from "@vanillarouter/platform/hashName";
+import { Member } from "./member";
+import { mixHashes } from "./mixHashes";
+
+/** Number of neighbours that a VM passes news on to. */
+const neighbourCount = 4;
+
+/**
+ * Returns the members of a zone that a VM passes news on to: its successor on the ring of ids, so that everyone is
+ * reached, and others at pseudo-random distances, so that it takes few hops. They change only with the membership, so the links stay open.
+ */
+export function findNeighbours(selfId: string, members: readonly Member[]): readonly Member[] {
+    const ring = [...members].sort((first, second) => first.vm.id < second.vm.id ? -1 : 1);
+    const position = ring.findIndex(member => member.vm.id === selfId);
+    if (position < 0) return ring.slice(0, neighbourCount);
+    const chosen = new Set<Member>();
+    const others = ring.length - 1;
+    for (let step = 0; step < 3 * neighbourCount && chosen.size < Math.min(neighbourCount, others); step++) {
+        const distance = step === 0 ? 0 : mixHashes(hashName(selfId), step) % others;
+        chosen.add(ring[(position + 1 + distance) % ring.length]!);
+    }
+    return [...chosen];
+}
--- /dev/null
+++ b/packages/vm/src/groupNews.ts
@@ -0,0 +1,139 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { sleep } from "@vanillarouter/base/sleep";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { hashName } from "@vanillarouter/platform/hashName";
+import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
+import { SharedRates } from "@vanillarouter/routing/sharedRates";
+import { GroupExchange } from "./groupExchange";
+import { mixHashes } from "./mixHashes";
+import { PeerCalls } from "./peerCalls";
+import { RateExchange } from "./rateExchange";
+
+interface GroupNewsOptions {
+    readonly peers: PeerCalls;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly directory: GroupDirectory;
+    readonly rates: RateExchange;
+    /** Names of the groups of the configuration. */
+    readonly listGroups: () => Iterable<string>;
+    /** VMs that views are passed on to: neighbours, and for a relay the relays of other zones. */
+    readonly listReceivers: () => readonly VmDescription[];
+    /** VMs that would own an upstream after this one. */
+    readonly listSuccessors: (upstream: string) => readonly VmDescription[];
+}
+
+const compareIntervalMs = 10_000;
+const ratesIntervalMs = 5_000;
+const maxTasks = 64;
+const maxViewsPerAnswer = 20_000;
+
+/** Spreads views of database groups to all VMs, and ordinary rates of an upstream to the VMs that would own it next. */
+export class GroupNews {
+    private readonly tasks: TaskGroup;
+    private readonly views = new Map<string, GroupView>();
+    private digest = 0;
+
+    private constructor(private readonly options: GroupNewsOptions) {
+        this.tasks = TaskGroup.create(() => {});
+    }
+
+    public static create(options: GroupNewsOptions): GroupNews {
+        return new GroupNews(options);
+    }
+
+    /** Spreads news until cancelled. */
+    public run(): Operation<never> {
+        return race([this.forwardViews(), this.compareViews(), this.shareRates()]);
+    }
+
+    /** Takes over what another VM sent; returns the views if it has others. */
+    public answer(exchange: GroupExchange): GroupExchange {
+        this.learn(exchange);
+        const differs = exchange.digest !== undefined && exchange.digest !== this.digest;
+        return { digest: this.digest, views: differs ? [...this.views.values()].slice(0, maxViewsPerAnswer) : [], rates: [] };
+    }
+
+    /** Cancels transfers that are under way. */
+    public close(): Operation<void> {
+        return this.tasks.cancelAll();
+    }
+
+    private learn(exchange: GroupExchange): void {
+        for (const view of exchange.views) this.options.directory.learn(view);
+        if (exchange.rates.length > 0) this.options.rates.learn(exchange.rates);
+    }
+
+    private *forwardViews(): Operation<never> {
+        for (;;) {
+            yield* this.options.directory.changed.wait();
+            const views = this.collectNews();
+            if (views.length === 0) continue;
+            for (const vm of this.options.listReceivers()) this.send(vm, { views, rates: [] });
+        }
+    }
+
+    /** Several views may have changed before the signal was seen, so all groups are looked at. */
+    private collectNews(): readonly GroupView[] {
+        const news: GroupView[] = [];
+        for (const group of this.options.listGroups()) {
+            const view = this.options.directory.find(group);
+            if (view !== undefined && this.remember(view)) news.push(view);
+        }
+        return news;
+    }
+
+    private *compareViews(): Operation<never> {
+        for (let turn = 0;; turn++) {
+            const receivers = this.options.listReceivers();
+            const vm = receivers[turn % Math.max(1, receivers.length)];
+            if (vm !== undefined) this.send(vm, { digest: this.digest, views: [], rates: [] });
+            yield* sleep(this.options.clock, (this.views.size === 0 ? 0.1 : 1) * compareIntervalMs * (0.8 + 0.4 * this.options.random.next()));
+        }
+    }
+
+    private *shareRates(): Operation<never> {
+        for (;;) {
+            yield* sleep(this.options.clock, ratesIntervalMs * (0.8 + 0.4 * this.options.random.next()));
+            const byVm = new Map<string, { readonly vm: VmDescription; readonly rates: SharedRates[]; }>();
+            for (const rates of this.options.rates.collect()) {
+                for (const vm of this.options.listSuccessors(rates.upstream)) {
+                    const entry = byVm.get(vm.id) ?? { vm, rates: [] };
+                    entry.rates.push(rates);
+                    byVm.set(vm.id, entry);
+                }
+            }
+            for (const { vm, rates } of byVm.values()) this.send(vm, { views: [], rates });
+        }
+    }
+
+    private send(vm: VmDescription, exchange: GroupExchange): void {
+        if (this.tasks.size < maxTasks) this.tasks.start(this.exchange(vm, exchange));
+    }
+
+    private *exchange(vm: VmDescription, exchange: GroupExchange): Operation<void> {
+        const answer = yield* this.options.peers.exchangeGroups(vm, exchange);
+        if (answer.ok) this.learn(answer.val);
+    }
+
+    /** Returns whether the view is newer than the one known. */
+    private remember(view: GroupView): boolean {
+        const known = this.views.get(view.group);
+        const isNewer = known === undefined || view.term > known.term
+            || (view.term === known.term && known.primary === undefined && view.primary !== undefined);
+        if (!isNewer) return false;
+        if (known !== undefined) this.digest ^= hashView(known);
+        this.digest = (this.digest ^ hashView(view)) >>> 0;
+        this.views.set(view.group, view);
+        return true;
+    }
+}
+
+function hashView(view: GroupView): number {
+    return mixHashes(hashName(view.group), mixHashes(view.term, hashName(view.primary ?? "")));
+}
--- /dev/null
+++ b/packages/vm/src/guardedOwnerLink.ts
@@ -0,0 +1,52 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { ConfirmedPosition } from "@vanillarouter/routing/confirmedPosition";
+import { OutcomeRequest } from "@vanillarouter/routing/outcomeRequest";
+import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
+import { TransactionEnd } from "@vanillarouter/routing/transactionEnd";
+import { TransactionRequest } from "@vanillarouter/routing/transactionRequest";
+import { TransactionStatement } from "@vanillarouter/routing/transactionStatement";
+import { Err, Result } from "ts-results";
+
+/** The owner role of this VM, used only while it may use its roles. */
+export class GuardedOwnerLink implements OwnerLink {
+    private constructor(private readonly owner: OwnerLink, private readonly checkRoles: () => Failure | undefined) {}
+
+    public static create(owner: OwnerLink, checkRoles: () => Failure | undefined): GuardedOwnerLink {
+        return new GuardedOwnerLink(owner, checkRoles);
+    }
+
+    public execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        return this.guard(() => this.owner.execute(req), RunOutcome.DidNotRun);
+    }
+
+    public begin(req: TransactionRequest): Operation<Result<void, Failure>> {
+        return this.guard(() => this.owner.begin(req), RunOutcome.DidNotRun);
+    }
+
+    public executeInTransaction(req: TransactionStatement): Operation<Result<StatementResult, Failure>> {
+        return this.guard(() => this.owner.executeInTransaction(req), RunOutcome.DidNotRun);
+    }
+
+    public endTransaction(req: TransactionEnd): Operation<Result<OwnerAnswer, Failure>> {
+        return req.commit ? this.guard(() => this.owner.endTransaction(req), RunOutcome.DidNotRun) : this.owner.endTransaction(req);
+    }
+
+    /** A refusal says nothing about the request whose outcome is asked for. */
+    public resolveOutcome(req: OutcomeRequest): Operation<Result<OwnerAnswer, Failure>> {
+        return this.guard(() => this.owner.resolveOutcome(req), RunOutcome.Unknown);
+    }
+
+    public confirmPosition(group: string, upstream: string, timeoutMs: number): Operation<Result<ConfirmedPosition, Failure>> {
+        return this.guard(() => this.owner.confirmPosition(group, upstream, timeoutMs), RunOutcome.DidNotRun);
+    }
+
+    private *guard<T>(call: () => Operation<Result<T, Failure>>, outcome: RunOutcome): Operation<Result<T, Failure>> {
+        const refusal = this.checkRoles();
+        return refusal === undefined ? yield* call() : Err({ ...refusal, outcome });
+    }
+}
--- /dev/null
+++ b/packages/vm/src/linkPool.ts
@@ -0,0 +1,128 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { Ok, Result } from "ts-results";
+import { createSocketClass } from "./createSocketClass";
+import { GroupExchange } from "./groupExchange";
+import { MemberExchange } from "./memberExchange";
+import { PeerCalls } from "./peerCalls";
+import { PeerLink } from "./peerLink";
+import { RemoteOwnerLink } from "./remoteOwnerLink";
+import { ShardDelta } from "./shardDelta";
+import { ShardDigest } from "./shardDigest";
+import { ShardDocument } from "./shardDocument";
+import { TlsSettings } from "./tlsSettings";
+
+interface LinkPoolOptions {
+    readonly vmId: string;
+    readonly clock: Clock;
+    readonly tls: TlsSettings;
+}
+
+const controlTimeoutMs = 2_000;
+const transferTimeoutMs = 10_000;
+const idleLimitMs = 30_000;
+const sweepIntervalMs = 5_000;
+
+/** The links of this VM to others: at most one for each VM, opened on demand and closed when idle. */
+export class LinkPool implements PeerCalls {
+    private readonly links = new Map<string, PeerLink>();
+    private readonly owners = new Map<string, RemoteOwnerLink>();
+    private readonly socketClass: ReturnType<typeof createSocketClass>;
+
+    private constructor(private readonly options: LinkPoolOptions) {
+        this.socketClass = createSocketClass(options.tls);
+    }
+
+    public static create(options: LinkPoolOptions): LinkPool {
+        return new LinkPool(options);
+    }
+
+    public get size(): number {
+        return this.links.size;
+    }
+
+    /** Returns the open link to a VM, or opens one. A VM that restarted at another address gets a new link. */
+    public open(vm: VmDescription): PeerLink {
+        const key = `${vm.id}@${vm.host}:${vm.linkPort}`;
+        const known = this.links.get(key);
+        if (known !== undefined && !known.isClosed) return known;
+        const link = PeerLink.create({
+            vm,
+            clock: this.options.clock,
+            socketClass: this.socketClass,
+            onClosed: () => {
+                if (this.links.get(key) === link) this.links.delete(key);
+            },
+        });
+        this.links.set(key, link);
+        return link;
+    }
+
+    /** Closes idle links until cancelled. */
+    public *run(): Operation<never> {
+        for (;;) {
+            yield* sleep(this.options.clock, sweepIntervalMs);
+            for (const link of [...this.links.values()]) {
+                if (link.idleMs >= idleLimitMs) link.end("idle");
+            }
+        }
+    }
+
+    public openOwner(vm: VmDescription): OwnerLink {
+        const key = `${vm.id}@${vm.host}:${vm.linkPort}`;
+        let owner = this.owners.get(key);
+        if (owner === undefined) {
+            owner = RemoteOwnerLink.create(() => this.open(vm));
+            this.owners.set(key, owner);
+        }
+        return owner;
+    }
+
+    /** Ends the links to a VM that was declared dead; its waiting calls fail at once. */
+    public drop(vm: VmDescription): void {
+        const key = `${vm.id}@${vm.host}:${vm.linkPort}`;
+        this.owners.delete(key);
+        this.links.get(key)?.end("the VM was declared dead");
+    }
+
+    public readDigest(vm: VmDescription): Operation<Result<ShardDigest, Failure>> {
+        return this.open(vm).call(controlTimeoutMs, RunOutcome.DidNotRun, (client, signal) => client.configuration.digest.query(undefined, { signal }));
+    }
+
+    public pullShards(vm: VmDescription, names: readonly string[]): Operation<Result<readonly ShardDocument[], Failure>> {
+        return this.open(vm).call(
+            transferTimeoutMs,
+            RunOutcome.DidNotRun,
+            (client, signal) => client.configuration.pull.mutate({ names: [...names] }, { signal }),
+        );
+    }
+
+    public *pushShards(vm: VmDescription, deltas: readonly ShardDelta[]): Operation<Result<void, Failure>> {
+        const request = { from: this.options.vmId, deltas: deltas.map(delta => ({ ...delta, removed: [...delta.removed], set: { ...delta.set } })) };
+        const result = yield* this.open(vm).call(
+            transferTimeoutMs,
+            RunOutcome.Unknown,
+            (client, signal) => client.configuration.push.mutate(request, { signal }),
+        );
+        return result.err ? result : Ok.EMPTY;
+    }
+
+    public exchangeMembers(vm: VmDescription, exchange: MemberExchange): Operation<Result<MemberExchange, Failure>> {
+        const request = { ...exchange, updates: [...exchange.updates] };
+        return this.open(vm).call(controlTimeoutMs, RunOutcome.Unknown, (client, signal) => client.members.exchange.mutate(request, { signal }));
+    }
+
+    public exchangeGroups(vm: VmDescription, exchange: GroupExchange): Operation<Result<GroupExchange, Failure>> {
+        const request = { ...exchange, views: [...exchange.views], rates: [...exchange.rates] };
+        return this.open(vm).call(controlTimeoutMs, RunOutcome.Unknown, (client, signal) => client.groups.exchange.mutate(request, { signal }));
+    }
+
+    public close(): void {
+        for (const link of [...this.links.values()]) link.end("this VM is stopping");
+    }
+}
--- /dev/null
+++ b/packages/vm/src/member.ts
@@ -0,0 +1,10 @@
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { MemberState } from "./memberState";
+
+/** A VM in the table of members. */
+export interface Member {
+    readonly vm: VmDescription;
+    readonly state: MemberState;
+    /** Local time of the last change of state, in milliseconds. */
+    readonly since: number;
+}
--- /dev/null
+++ b/packages/vm/src/ownerRouter.ts
@@ -0,0 +1,80 @@
+import { Configuration } from "@vanillarouter/base/configuration";
+import { Signal } from "@vanillarouter/base/signal";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { OwnerDirectory } from "@vanillarouter/routing/ownerDirectory";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { ConfigurationReplica } from "./configurationReplica";
+import { MemberTable } from "./memberTable";
+import { PeerCalls } from "./peerCalls";
+import { RoleAssignment } from "./roleAssignment";
+
+interface OwnerRouterOptions {
+    readonly selfId: string;
+    readonly replica: ConfigurationReplica;
+    readonly roles: RoleAssignment;
+    readonly table: MemberTable;
+    readonly peers: PeerCalls;
+    /** The owner role of this VM; undefined before it is set up. */
+    readonly readLocalOwner: () => OwnerLink | undefined;
+}
+
+/** Finds the owner of each upstream from the configuration and the membership of its zone. */
+export class OwnerRouter implements OwnerDirectory {
+    /** Notified when roles may have moved: after changes of the membership or of the configuration. */
+    public readonly changed = Signal.create<void>();
+    private readonly reportedLeaving = new Set<string>();
+    private indexed: Configuration | undefined;
+    private upstreams: ReadonlyMap<string, UpstreamSettings> = new Map();
+
+    private constructor(private readonly options: OwnerRouterOptions) {
+        options.table.onChange(() => this.changed.notifyAll());
+    }
+
+    public static create(options: OwnerRouterOptions): OwnerRouter {
+        return new OwnerRouter(options);
+    }
+
+    public findOwner(upstream: string): OwnerLink | undefined {
+        const owner = this.findOwnerVm(upstream);
+        if (owner === undefined) return undefined;
+        return owner.id === this.options.selfId ? this.options.readLocalOwner() : this.options.peers.openOwner(owner);
+    }
+
+    /** Returns the VM that owns an upstream; undefined while no live VM can, or the upstream is unknown. */
+    public findOwnerVm(upstream: string): VmDescription | undefined {
+        const settings = this.readUpstreams().get(upstream);
+        return settings === undefined ? undefined : this.options.roles.orderOwners(upstream, settings.zone)[0]?.vm;
+    }
+
+    /** Returns the VMs that would own an upstream after the present owner. */
+    public listSuccessors(upstream: string): readonly VmDescription[] {
+        const settings = this.readUpstreams().get(upstream);
+        return settings === undefined ? [] : this.options.roles.orderOwners(upstream, settings.zone).slice(1).map(member => member.vm);
+    }
+
+    /** Returns the upstreams that this VM owns. */
+    public listOwned(): readonly UpstreamSettings[] {
+        const { roles, selfId } = this.options;
+        return [...this.readUpstreams().values()].filter(upstream => roles.orderOwners(upstream.id, upstream.zone)[0]?.vm.id === selfId);
+    }
+
+    public isLeaving(upstream: string): boolean {
+        return this.reportedLeaving.has(upstream) || (this.readUpstreams().get(upstream)?.leaving ?? false);
+    }
+
+    /** Notes what an upstream says of itself. */
+    public noteLeaving(upstream: string, leaving: boolean): void {
+        if (leaving) this.reportedLeaving.add(upstream);
+        else this.reportedLeaving.delete(upstream);
+    }
+
+    private readUpstreams(): ReadonlyMap<string, UpstreamSettings> {
+        const { current } = this.options.replica;
+        if (current !== this.indexed) {
+            this.indexed = current;
+            this.upstreams = new Map([...current?.groups.values() ?? []].flatMap(group => group.upstreams).map(upstream => [upstream.id, upstream]));
+        }
+        return this.upstreams;
+    }
+}
--- /dev/null
+++ b/packages/vm/src/pausableClock.ts
@@ -0,0 +1,43 @@
+import { Clock } from "@vanillarouter/base/clock";
+
+/** A clock whose timers stand still while it is paused, as those of a stopped process do; `now` goes on. For tests. */
+export class PausableClock implements Clock {
+    private paused = false;
+    private due: (() => void)[] = [];
+
+    private constructor(private readonly clock: Clock) {}
+
+    public static create(clock: Clock): PausableClock {
+        return new PausableClock(clock);
+    }
+
+    public now(): number {
+        return this.clock.now();
+    }
+
+    public startTimer(delayMs: number, listener: () => void): () => void {
+        let cancelled = false;
+        const fire = (): void => {
+            if (cancelled) return;
+            if (this.paused) this.due.push(fire);
+            else listener();
+        };
+        const cancel = this.clock.startTimer(delayMs, fire);
+        return () => {
+            cancelled = true;
+            cancel();
+        };
+    }
+
+    public pause(): void {
+        this.paused = true;
+    }
+
+    /** Fires the timers that fell due meanwhile. */
+    public resume(): void {
+        this.paused = false;
+        const due = this.due;
+        this.due = [];
+        for (const fire of due) fire();
+    }
+}
--- /dev/null
+++ b/packages/vm/src/rankZones.ts
@@ -0,0 +1,18 @@
+import { hashName } from "@vanillarouter/platform/hashName";
+import { mixHashes } from "./mixHashes";
+
+function measureCommonPrefix(first: string, second: string): number {
+    let length = 0;
+    while (length < first.length && first[length] === second[length]) length++;
+    return length;
+}
+
+/**
+ * Orders zones by distance from one: itself first, then those whose names share the longest prefix with its name, as zones of
+ * one region do. Every VM computes the same order.
+ */
+export function rankZones(from: string, zones: readonly string[]): readonly string[] {
+    const hash = hashName(from);
+    const distance = (zone: string): number => zone === from ? -Infinity : -measureCommonPrefix(from, zone);
+    return [...zones].sort((first, second) => distance(first) - distance(second) || mixHashes(hash, hashName(first)) - mixHashes(hash, hashName(second)));
+}
--- /dev/null
+++ b/packages/vm/src/rateExchange.ts
@@ -0,0 +1,7 @@
+import { SharedRates } from "@vanillarouter/routing/sharedRates";
+
+/** Gives the ordinary rates of the upstreams that this VM owns, and keeps those of upstreams that it may own next. */
+export interface RateExchange {
+    collect(): readonly SharedRates[];
+    learn(rates: readonly SharedRates[]): void;
+}
--- /dev/null
+++ b/packages/vm/src/readShardDocument.ts
@@ -0,0 +1,11 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
+import { parseShard } from "@vanillarouter/platform/parseShard";
+import { Ok, Result } from "ts-results";
+import { ShardDocument } from "./shardDocument";
+
+/** Reads and checks a shard that another VM sent. */
+export function readShardDocument(document: ShardDocument): Result<ConfigurationShard, Failure> {
+    if (document.version === 0) return Ok({ name: document.name, version: 0, changeId: "", items: new Map() });
+    return parseShard(document.name, document.text, document.version);
+}
--- /dev/null
+++ b/packages/vm/src/remoteOwnerLink.ts
@@ -0,0 +1,79 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { ConfirmedPosition } from "@vanillarouter/routing/confirmedPosition";
+import { OutcomeRequest } from "@vanillarouter/routing/outcomeRequest";
+import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
+import { StatementKind } from "@vanillarouter/routing/statementKind";
+import { TransactionEnd } from "@vanillarouter/routing/transactionEnd";
+import { TransactionRequest } from "@vanillarouter/routing/transactionRequest";
+import { TransactionStatement } from "@vanillarouter/routing/transactionStatement";
+import { Err, Ok, Result } from "ts-results";
+import { PeerLink } from "./peerLink";
+import { WireAnswer } from "./wireAnswer";
+
+/** The owner role of another VM. */
+export class RemoteOwnerLink implements OwnerLink {
+    private constructor(private readonly openLink: () => PeerLink) {}
+
+    /** Makes the remote side; `openLink` returns a usable link for each call. */
+    public static create(openLink: () => PeerLink): RemoteOwnerLink {
+        return new RemoteOwnerLink(openLink);
+    }
+
+    public *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        const lost = req.kind === StatementKind.Write ? RunOutcome.Unknown : RunOutcome.DidNotRun;
+        const answer = yield* this.openLink().call(req.timeoutMs, lost, (client, signal) => client.owner.execute.mutate(req, { signal }));
+        return restoreAnswer(unwrap<OwnerAnswer>(answer));
+    }
+
+    public *begin(req: TransactionRequest): Operation<Result<void, Failure>> {
+        const answer = yield* this.openLink().call(req.timeoutMs, RunOutcome.DidNotRun, (client, signal) => client.owner.begin.mutate(req, { signal }));
+        const result = unwrap<unknown>(answer);
+        return result.err ? result : Ok.EMPTY;
+    }
+
+    public *executeInTransaction(req: TransactionStatement): Operation<Result<StatementResult, Failure>> {
+        const answer = yield* this.openLink().call(req.timeoutMs, RunOutcome.Unknown, (client, signal) => client.owner.statement.mutate(req, { signal }));
+        const result = unwrap<StatementResult>(answer);
+        return result.err ? result : Ok(restoreRows(result.val));
+    }
+
+    public *endTransaction(req: TransactionEnd): Operation<Result<OwnerAnswer, Failure>> {
+        const lost = req.commit ? RunOutcome.Unknown : RunOutcome.DidNotRun;
+        const answer = yield* this.openLink().call(req.timeoutMs, lost, (client, signal) => client.owner.end.mutate(req, { signal }));
+        return restoreAnswer(unwrap<OwnerAnswer>(answer));
+    }
+
+    public *resolveOutcome(req: OutcomeRequest): Operation<Result<OwnerAnswer, Failure>> {
+        const answer = yield* this.openLink().call(req.timeoutMs, RunOutcome.Unknown, (client, signal) => client.owner.resolve.mutate(req, { signal }));
+        // A question that was not asked leaves the outcome unknown; only an answer can say that the request did not run.
+        if (answer.err) return Err({ ...answer.val, outcome: RunOutcome.Unknown });
+        return restoreAnswer(unwrap<OwnerAnswer>(answer));
+    }
+
+    public *confirmPosition(group: string, upstream: string, timeoutMs: number): Operation<Result<ConfirmedPosition, Failure>> {
+        const req = { group, upstream, timeoutMs };
+        const answer = yield* this.openLink().call(timeoutMs, RunOutcome.DidNotRun, (client, signal) => client.owner.confirm.mutate(req, { signal }));
+        return unwrap<ConfirmedPosition>(answer);
+    }
+}
+
+function unwrap<T>(answer: Result<unknown, Failure>): Result<T, Failure> {
+    if (answer.err) return answer;
+    const wire = answer.val as WireAnswer<T>;
+    return "failure" in wire ? Err(wire.failure) : Ok(wire.value);
+}
+
+function restoreAnswer(answer: Result<OwnerAnswer, Failure>): Result<OwnerAnswer, Failure> {
+    return answer.err ? answer : Ok({ ...answer.val, result: restoreRows(answer.val.result) });
+}
+
+/** JSON has no undefined and carries SQL NULL as null. */
+function restoreRows(result: StatementResult): StatementResult {
+    const rows = result.rows.map(row => row.includes(null as never) ? row.map(value => value ?? undefined) : row);
+    return { ...result, rows };
+}
--- /dev/null
+++ b/packages/vm/src/requestSchemas.ts
@@ -0,0 +1,75 @@
+import { Rank } from "@vanillarouter/base/rank";
+import { StatementKind } from "@vanillarouter/routing/statementKind";
+import { z } from "zod";
+import { MemberState } from "./memberState";
+
+const timeoutMs = z.number().min(0).max(3_600_000);
+const position = z.object({ term: z.number(), position: z.number() });
+const version = z.number().int().min(0);
+const item = z.object({ changeId: z.string(), value: z.unknown() });
+
+const vm = z.object({
+    id: z.string(),
+    zone: z.string(),
+    host: z.string(),
+    heartbeatPort: z.number(),
+    linkPort: z.number(),
+    incarnation: z.number(),
+    leaving: z.boolean(),
+});
+
+/** Schemas of the requests between VMs. */
+export const requestSchemas = {
+    execute: z.object({
+        requestId: z.string(),
+        upstream: z.string(),
+        group: z.string(),
+        className: z.string(),
+        rank: z.enum(Rank),
+        franchisee: z.string(),
+        kind: z.enum([StatementKind.Read, StatementKind.Write]),
+        sql: z.string(),
+        timeoutMs,
+        floor: position.optional(),
+        maxAgeMs: z.number().optional(),
+        term: z.number().optional(),
+        repeatable: z.boolean(),
+    }),
+    begin: z.object({
+        requestId: z.string(),
+        upstream: z.string(),
+        group: z.string(),
+        className: z.string(),
+        rank: z.enum(Rank),
+        franchisee: z.string(),
+        term: z.number(),
+        timeoutMs,
+    }),
+    statement: z.object({ transactionId: z.string(), upstream: z.string(), sequence: z.number(), sql: z.string(), timeoutMs }),
+    end: z.object({ transactionId: z.string(), upstream: z.string(), commit: z.boolean(), timeoutMs }),
+    resolve: z.object({ requestId: z.string(), group: z.string(), upstream: z.string(), term: z.number(), timeoutMs }),
+    confirm: z.object({ group: z.string(), upstream: z.string(), timeoutMs }),
+    pull: z.object({ names: z.array(z.string()).max(64) }),
+    push: z.object({
+        from: z.string(),
+        deltas: z.array(z.object({
+            name: z.string(),
+            fromVersion: version,
+            version,
+            changeId: z.string(),
+            set: z.record(z.string(), item),
+            removed: z.array(z.string()),
+        })),
+    }),
+    members: z.object({
+        zone: z.string(),
+        digests: z.record(z.string(), z.number()),
+        updates: z.array(z.object({ vm, state: z.enum(MemberState) })),
+        configurationMark: z.number(),
+    }),
+    groups: z.object({
+        digest: z.number().optional(),
+        views: z.array(z.object({ group: z.string(), term: z.number(), primary: z.string().optional() })),
+        rates: z.array(z.object({ upstream: z.string(), slotTimeByClass: z.record(z.string(), z.number()), ageMs: z.number() })),
+    }),
+} as const;
--- /dev/null
+++ b/packages/vm/src/roleAssignment.ts
@@ -0,0 +1,94 @@
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { hashName } from "@vanillarouter/platform/hashName";
+import { Member } from "./member";
+import { MemberTable } from "./memberTable";
+import { mixHashes } from "./mixHashes";
+import { rankZones } from "./rankZones";
+
+interface CachedOrder {
+    readonly version: number;
+    readonly order: readonly Member[];
+}
+
+const relayCount = 3;
+/** The owner and the VMs that would follow it. */
+const orderLength = 3;
+
+/**
+ * Assigns roles by rendezvous hashing over the members of a zone: every VM with the same table computes the same, and a
+ * member that comes or goes moves only its own roles.
+ */
+export class RoleAssignment {
+    private readonly orders = new Map<string, CachedOrder>();
+
+    private constructor(private readonly table: MemberTable, private readonly selfId: string) {}
+
+    public static create(table: MemberTable, selfId: string): RoleAssignment {
+        return new RoleAssignment(table, selfId);
+    }
+
+    /** Returns the owner of an upstream and those who follow it, first the owner: of its own zone, else of the nearest with a VM. */
+    public orderOwners(upstream: string, zone: string): readonly Member[] {
+        const home = this.table.listEligible(zone).length > 0 ? zone : this.findNearestZone(zone);
+        return home === undefined ? [] : this.order(`owner:${upstream}`, home);
+    }
+
+    /** Returns the VMs of a zone that watch the store and speak with other zones. */
+    public listRelays(zone: string): readonly Member[] {
+        return this.order("relay", zone).slice(0, relayCount);
+    }
+
+    public isRelay(): boolean {
+        const zone = this.table.find(this.selfId)?.vm.zone;
+        return zone !== undefined && this.listRelays(zone).some(member => member.vm.id === this.selfId);
+    }
+
+    /**
+     * Returns the place of this VM among those that coordinate a group, from 0; undefined if it is none of them. The zones
+     * of the group's upstreams take turns, so that the next place survives the loss of a zone, and only the members of
+     * this VM's zone are compared.
+     */
+    public findCoordinatorPlace(group: DatabaseGroup): number | undefined {
+        const zones = this.rankGroupZones(group);
+        const self = this.table.find(this.selfId);
+        const zoneIndex = self === undefined ? -1 : zones.indexOf(self.vm.zone);
+        if (zoneIndex < 0) return undefined;
+        const place = this.order(`group:${group.name}`, zones[zoneIndex]!).findIndex(member => member.vm.id === this.selfId);
+        return place < 0 ? undefined : place * zones.length + zoneIndex;
+    }
+
+    private rankGroupZones(group: DatabaseGroup): readonly string[] {
+        const hasMembers = (zone: string): boolean => this.table.listEligible(zone).length > 0;
+        const own = [...new Set(group.upstreams.map(upstream => upstream.zone))].filter(hasMembers);
+        const zones = own.length > 0 ? own : this.table.zoneNames.filter(hasMembers);
+        const hash = hashName(group.name);
+        return [...zones].sort((first, second) => mixHashes(hash, hashName(second)) - mixHashes(hash, hashName(first)));
+    }
+
+    private findNearestZone(zone: string): string | undefined {
+        return rankZones(zone, this.table.zoneNames).find(name => this.table.listEligible(name).length > 0);
+    }
+
+    /** Returns the members of a zone with the highest weights for a role. */
+    private order(role: string, zone: string): readonly Member[] {
+        const key = `${role}@${zone}`;
+        const version = this.table.readVersion(zone);
+        const cached = this.orders.get(key);
+        if (cached?.version === version) return cached.order;
+        const order = selectHighest(hashName(role), this.table.listEligible(zone));
+        this.orders.set(key, { version, order });
+        return order;
+    }
+}
+
+function selectHighest(roleHash: number, members: readonly Member[]): readonly Member[] {
+    const best: { readonly weight: number; readonly member: Member; }[] = [];
+    for (const member of members) {
+        const weight = mixHashes(roleHash, hashName(member.vm.id));
+        if (best.length === orderLength && weight <= best[orderLength - 1]!.weight) continue;
+        const position = best.findIndex(entry => weight > entry.weight);
+        best.splice(position < 0 ? best.length : position, 0, { weight, member });
+        if (best.length > orderLength) best.pop();
+    }
+    return best.map(entry => entry.member);
+}
--- /dev/null
+++ b/packages/vm/src/startVmNode.ts
@@ -0,0 +1,73 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { sleep } from "@vanillarouter/base/sleep";
+import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
+import { VmList } from "@vanillarouter/platform/vmList";
+import { Ok, Result } from "ts-results";
+import { LinkPool } from "./linkPool";
+import { LinkServer } from "./linkServer";
+import { MemberState } from "./memberState";
+import { NodeRoles } from "./nodeRoles";
+import { NodeSettings } from "./nodeSettings";
+import { PeerServices } from "./peerServices";
+import { RunningNode } from "./runningNode";
+import { UdpTransport } from "./udpTransport";
+import { VmNode } from "./vmNode";
+
+interface StartOptions {
+    readonly settings: NodeSettings;
+    readonly store: KeyValueStore;
+    readonly list: VmList;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Makes the roles of this VM; called once, before anything is sent or received. */
+    readonly createRoles: (node: VmNode) => NodeRoles;
+    readonly onEvent?: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+/** Time in which the datagrams that say that this VM ends leave the process. */
+const lastDatagramsMs = 20;
+
+/** Binds the sockets of a VM and makes its node. Run it with `node.run()`. Fails on unusable ports or certificates. */
+export function* startVmNode(options: StartOptions): Operation<Result<RunningNode, Failure>> {
+    const { settings, clock } = options;
+    const transport = UdpTransport.create(settings.host);
+    const heartbeatPort = yield* transport.bind(settings.heartbeatPort);
+    if (heartbeatPort.err) return heartbeatPort;
+    const holder: { services?: PeerServices; } = {};
+    const server = LinkServer.create({ host: settings.host, port: settings.linkPort, tls: settings.tls, services: deferServices(() => holder.services!) });
+    const linkPort = server.err ? server : yield* server.val.listen();
+    if (server.err || linkPort.err) {
+        transport.close();
+        return server.err ? server : linkPort as Result<RunningNode, Failure>;
+    }
+    const links = LinkPool.create({ vmId: settings.id, clock, tls: settings.tls });
+    const bound = { ...settings, heartbeatPort: heartbeatPort.val, linkPort: linkPort.val };
+    const node = VmNode.create({ ...options, settings: bound, transport, peers: links });
+    holder.services = node.services;
+    node.membership.table.onChange(member => member.state === MemberState.Dead && links.drop(member.vm));
+    const close = function*(): Operation<void> {
+        node.stop();
+        yield* sleep(clock, lastDatagramsMs);
+        links.close();
+        server.val.close();
+        transport.close();
+    };
+    return Ok({ node, links, heartbeatPort: heartbeatPort.val, linkPort: linkPort.val, countIncomingLinks: () => server.val.linkCount, close });
+}
+
+/** The server must listen before the node exists, because the node tells others the bound port. */
+function deferServices(read: () => PeerServices): PeerServices {
+    return {
+        get owner() {
+            return read().owner;
+        },
+        readDigest: () => read().readDigest(),
+        pullShards: names => read().pullShards(names),
+        pushShards: (deltas, from) => read().pushShards(deltas, from),
+        exchangeMembers: exchange => read().exchangeMembers(exchange),
+        exchangeGroups: exchange => read().exchangeGroups(exchange),
+    };
+}
--- /dev/null
+++ b/packages/vm/src/storeWatcher.ts
@@ -0,0 +1,89 @@
+import { all } from "@vanillarouter/base/all";
+import { Clock } from "@vanillarouter/base/clock";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
+import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
+import { parseShard } from "@vanillarouter/platform/parseShard";
+import { shardNames } from "@vanillarouter/platform/shardNames";
+import { WatchAnswer } from "@vanillarouter/platform/watchAnswer";
+import { Ok, Result } from "ts-results";
+
+interface StoreWatcherOptions {
+    readonly store: KeyValueStore;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Whether this VM is a relay now. */
+    readonly isRelay: () => boolean;
+    readonly accept: (shard: ConfigurationShard) => void;
+    readonly onFailure: (shard: string, failure: Failure) => void;
+}
+
+const relayCheckMs = 500;
+const watchMs = 60_000;
+const firstRetryMs = 250;
+const longestRetryMs = 5_000;
+/** A watch that answers sooner without news is not repeated at once, so a faulty store is not flooded. */
+const shortestWatchMs = 200;
+
+/** Watches the shards in the store while this VM is a relay: one waiting call for each shard. */
+export class StoreWatcher {
+    private constructor(private readonly options: StoreWatcherOptions) {}
+
+    public static create(options: StoreWatcherOptions): StoreWatcher {
+        return new StoreWatcher(options);
+    }
+
+    /** Watches until cancelled, whenever this VM is a relay. */
+    public *run(): Operation<never> {
+        let watches: Task<unknown> | undefined;
+        try {
+            for (;;) {
+                const isRelay = this.options.isRelay();
+                if (isRelay && watches === undefined) watches = Task.start(all(shardNames.map(name => this.watchShard(name))));
+                if (!isRelay && watches !== undefined) {
+                    watches.cancel();
+                    watches = undefined;
+                }
+                yield* sleep(this.options.clock, relayCheckMs);
+            }
+        }
+        finally {
+            watches?.cancel();
+        }
+    }
+
+    private *watchShard(name: string): Operation<never> {
+        const { clock, random, store } = this.options;
+        let index = 0;
+        let retryMs = firstRetryMs;
+        for (;;) {
+            const startedAt = clock.now();
+            const answer = yield* store.watch(configurationKeys.formatShardKey(name), index, watchMs * (0.75 + 0.25 * random.next()));
+            const shard = answer.err ? answer : readShard(name, answer.val);
+            if (shard.err) {
+                this.options.onFailure(name, shard.val);
+                yield* sleep(clock, retryMs * (0.5 + 0.5 * random.next()));
+                retryMs = Math.min(longestRetryMs, retryMs * 2);
+                index = 0;
+                continue;
+            }
+            retryMs = firstRetryMs;
+            this.options.accept(shard.val);
+            // An index that went back means that the store was restored; a watch from the old one might wait for ever.
+            const next = answer.err ? 0 : answer.val.index;
+            const wasEarly = next <= index && clock.now() - startedAt < shortestWatchMs;
+            index = next < index ? 0 : next;
+            if (wasEarly) yield* sleep(clock, shortestWatchMs);
+        }
+    }
+}
+
+function readShard(name: string, answer: WatchAnswer): Result<ConfigurationShard, Failure> {
+    if (answer.entry === undefined) return Ok({ name, version: 0, changeId: "", items: new Map() });
+    return parseShard(name, answer.entry.value, answer.entry.version);
+}
--- /dev/null
+++ b/packages/vm/src/updateQueue.ts
@@ -0,0 +1,48 @@
+import { MemberUpdate } from "./memberUpdate";
+
+interface QueuedUpdate {
+    readonly update: MemberUpdate;
+    sent: number;
+}
+
+/** Each update is sent this many times the logarithm of the zone's size, which reaches every member with high probability. */
+const repeatFactor = 4;
+
+/** Updates that are spread along with heartbeats, those sent least first. An update of a member replaces an older one. */
+export class UpdateQueue {
+    private readonly queue = new Map<string, QueuedUpdate>();
+
+    private constructor() {}
+
+    public static create(): UpdateQueue {
+        return new UpdateQueue();
+    }
+
+    public get size(): number {
+        return this.queue.size;
+    }
+
+    public push(update: MemberUpdate): void {
+        this.queue.delete(update.vm.id);
+        this.queue.set(update.vm.id, { update, sent: 0 });
+    }
+
+    /** Whether an update has been sent fewer than `times` times. */
+    public hasFresh(times: number): boolean {
+        for (const entry of this.queue.values()) {
+            if (entry.sent < times) return true;
+        }
+        return false;
+    }
+
+    /** Takes up to `limit` updates for one message to one of `memberCount` members. */
+    public take(limit: number, memberCount: number): readonly MemberUpdate[] {
+        if (this.queue.size === 0) return [];
+        const maxSends = repeatFactor * Math.ceil(Math.log2(memberCount + 2));
+        const chosen = [...this.queue.values()].sort((first, second) => first.sent - second.sent).slice(0, limit);
+        for (const entry of chosen) {
+            if (++entry.sent >= maxSends) this.queue.delete(entry.update.vm.id);
+        }
+        return chosen.map(entry => entry.update);
+    }
+}
--- /dev/null
+++ b/packages/vm/src/vmNode.ts
@@ -0,0 +1,247 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
+import { VmList } from "@vanillarouter/platform/vmList";
+import { Err, Ok, Result } from "ts-results";
+import { ConfigurationReplica } from "./configurationReplica";
+import { ConfigurationSpread } from "./configurationSpread";
+import { DatagramTransport } from "./datagramTransport";
+import { Diagnostics } from "./diagnostics";
+import { findNeighbours } from "./findNeighbours";
+import { GroupNews } from "./groupNews";
+import { GuardedOwnerLink } from "./guardedOwnerLink";
+import { HeartbeatCodec } from "./heartbeatCodec";
+import { ListWatcher } from "./listWatcher";
+import { Member } from "./member";
+import { Membership } from "./membership";
+import { MemberState } from "./memberState";
+import { NodeRoles } from "./nodeRoles";
+import { NodeSettings } from "./nodeSettings";
+import { OwnerRouter } from "./ownerRouter";
+import { PeerCalls } from "./peerCalls";
+import { PeerServices } from "./peerServices";
+import { RoleAssignment } from "./roleAssignment";
+import { StoreWatcher } from "./storeWatcher";
+import { ZoneRelay } from "./zoneRelay";
+
+interface VmNodeOptions {
+    /** Settings with the ports as they are bound. */
+    readonly settings: NodeSettings;
+    readonly transport: DatagramTransport;
+    readonly peers: PeerCalls;
+    readonly store: KeyValueStore;
+    readonly list: VmList;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    /** Roles of this VM; made from the node, so that they can use its directories. */
+    readonly createRoles: (node: VmNode) => NodeRoles;
+    /** Called with events worth a log line. */
+    readonly onEvent?: (event: string, fields: Readonly<Record<string, unknown>>) => void;
+}
+
+/** Time in which the word that a VM is leaving reaches its zone and the relays of the others. */
+const leaveSpreadMs = 500;
+
+/**
+ * One VM among the others: membership, configuration, owners and coordinators of upstreams and groups. It takes its
+ * transports through interfaces; `startVmNode` makes one on real sockets.
+ */
+export class VmNode {
+    public readonly membership: Membership;
+    public readonly owners: OwnerRouter;
+    public readonly roles: RoleAssignment;
+    public readonly replica = ConfigurationReplica.create();
+    private readonly spread: ConfigurationSpread;
+    private readonly relay: ZoneRelay;
+    private readonly news: GroupNews;
+    private readonly listWatcher: ListWatcher;
+    private readonly storeWatcher: StoreWatcher;
+    private readonly localOwner: GuardedOwnerLink;
+
+    private constructor(private readonly options: VmNodeOptions) {
+        const { settings, clock, random, peers } = options;
+        this.membership = this.createMembership();
+        const { table } = this.membership;
+        const { replica } = this;
+        const isRelay = (): boolean => this.roles.isRelay();
+        this.roles = RoleAssignment.create(table, settings.id);
+        this.owners = OwnerRouter.create({ selfId: settings.id, replica, roles: this.roles, table, peers, readLocalOwner: () => this.localOwner });
+        this.spread = ConfigurationSpread.create({
+            replica,
+            peers,
+            clock,
+            listNeighbours: () => this.listNeighbours(),
+            findVm: id => table.find(id)?.vm,
+            onRejected: (shard, version, source, cause) => this.report("shardRejected", { shard, version, source, cause }),
+        });
+        this.relay = this.createRelay();
+        this.listWatcher = ListWatcher.create({ list: options.list, clock, random, membership: this.membership, isRelay });
+        this.storeWatcher = StoreWatcher.create({
+            store: options.store,
+            clock,
+            random,
+            isRelay,
+            accept: shard => this.spread.accept(shard),
+            onFailure: (shard, failure) => this.report("storeWatchFailed", { shard, code: failure.code, cause: failure.message }),
+        });
+        table.onChange((member, before) => this.reportMember(member, before));
+        const nodeRoles = options.createRoles(this);
+        this.localOwner = GuardedOwnerLink.create(nodeRoles.owner, () => this.checkRoles());
+        this.news = GroupNews.create({
+            peers,
+            clock,
+            random,
+            directory: nodeRoles.groups,
+            rates: nodeRoles.rates,
+            listGroups: () => replica.current?.groups.keys() ?? [],
+            listReceivers: () => this.listNewsReceivers(),
+            listSuccessors: upstream => this.owners.listSuccessors(upstream),
+        });
+    }
+
+    public static create(options: VmNodeOptions): VmNode {
+        return new VmNode(options);
+    }
+
+    /** The configuration in force on this VM. */
+    public get configuration(): ConfigurationSource {
+        return this.replica;
+    }
+
+    /** Notified when another VM says, on the word of the platform's list, that this VM is to leave. */
+    public get toldToLeave(): Signal<void> {
+        return this.membership.toldToLeave;
+    }
+
+    /** What this VM offers over its links. */
+    public get services(): PeerServices {
+        return {
+            owner: this.localOwner,
+            readDigest: () => this.replica.readDigest(),
+            pullShards: names => this.replica.readDocuments(names),
+            pushShards: (deltas, from) => this.spread.acceptPush(deltas, from),
+            exchangeMembers: exchange => this.relay.answer(exchange),
+            exchangeGroups: exchange => this.news.answer(exchange),
+        };
+    }
+
+    /** Returns why this VM may not use its roles at present; undefined if it may. */
+    public checkRoles(): Failure | undefined {
+        return this.membership.guard.mayUseRoles() ? undefined : createFailure(Diagnostics.rolesNotHeld, RunOutcome.DidNotRun, this.options.settings.id);
+    }
+
+    /** Returns the place of this VM among the coordinators of a group, from 0; undefined if it is none, or may not use its roles. */
+    public findCoordinatorPlace(group: DatabaseGroup): number | undefined {
+        return this.checkRoles() === undefined ? this.roles.findCoordinatorPlace(group) : undefined;
+    }
+
+    /** Takes part until cancelled. */
+    public *run(): Operation<never> {
+        try {
+            return yield* race([this.membership.run(), this.relay.run(), this.storeWatcher.run(), this.listWatcher.run(), this.news.run()]);
+        }
+        finally {
+            yield* this.spread.close();
+            yield* this.relay.close();
+            yield* this.news.close();
+        }
+    }
+
+    /** Announces that this VM takes no new work, and waits until the others have heard it. */
+    public *leave(): Operation<void> {
+        this.membership.announceLeaving();
+        yield* sleep(this.options.clock, leaveSpreadMs);
+    }
+
+    /** Announces that this VM ends now. */
+    public stop(): void {
+        this.membership.stop();
+    }
+
+    /** Waits until the VM has joined and has every shard of the configuration, at most `timeoutMs` milliseconds. */
+    public *waitReady(timeoutMs: number): Operation<Result<void, Failure>> {
+        const { clock, settings } = this.options;
+        const deadline = clock.now() + timeoutMs;
+        while (!this.replica.isComplete || this.checkRoles() !== undefined) {
+            if (clock.now() >= deadline) return Err(createFailure(Diagnostics.notReady, RunOutcome.DidNotRun, settings.id, timeoutMs));
+            yield* sleep(clock, 20);
+        }
+        return Ok.EMPTY;
+    }
+
+    private createMembership(): Membership {
+        const { settings, clock, random, transport } = this.options;
+        return Membership.create({
+            self: {
+                id: settings.id,
+                zone: settings.zone,
+                host: settings.host,
+                heartbeatPort: settings.heartbeatPort,
+                linkPort: settings.linkPort,
+                incarnation: settings.incarnation,
+                leaving: false,
+            },
+            transport,
+            codec: HeartbeatCodec.create(settings.clusterKey),
+            clock,
+            random,
+            readSeeds: () => [...settings.seeds, ...this.listWatcher.readSeeds()],
+            readConfigurationMark: () => this.replica.mark,
+            onConfigurationMark: (sender, mark) => this.spread.noteMark(sender, mark),
+        });
+    }
+
+    private createRelay(): ZoneRelay {
+        const { settings, clock, random, peers } = this.options;
+        return ZoneRelay.create({
+            zone: settings.zone,
+            membership: this.membership,
+            roles: this.roles,
+            peers,
+            clock,
+            random,
+            readConfigurationMark: () => this.replica.mark,
+            onConfigurationMark: (sender, mark) => this.spread.noteMark(sender, mark),
+        });
+    }
+
+    private listNeighbours(): readonly ReturnType<typeof toVm>[] {
+        const { id, zone } = this.options.settings;
+        return findNeighbours(id, this.membership.table.listLive(zone)).map(toVm);
+    }
+
+    /** A relay passes news on to one relay of each other zone as well. */
+    private listNewsReceivers(): readonly ReturnType<typeof toVm>[] {
+        const neighbours = this.listNeighbours();
+        if (!this.roles.isRelay()) return neighbours;
+        const others = this.membership.table.zoneNames.filter(zone => zone !== this.options.settings.zone);
+        const remote = others.map(zone => {
+            const relays = this.roles.listRelays(zone);
+            return relays[Math.floor(this.options.random.next() * relays.length)];
+        });
+        return [...neighbours, ...remote.filter(member => member !== undefined).map(toVm)];
+    }
+
+    private reportMember(member: Member, before: Member | undefined): void {
+        if (before?.state === member.state && before.vm.leaving === member.vm.leaving) return;
+        const { id, zone, incarnation, leaving } = member.vm;
+        this.report("memberChanged", { vm: id, zone, state: MemberState[member.state], incarnation, leaving });
+    }
+
+    private report(event: string, fields: Readonly<Record<string, unknown>>): void {
+        this.options.onEvent?.(event, fields);
+    }
+}
+
+function toVm(member: Member): Member["vm"] {
+    return member.vm;
+}
