Add the entry service: session floors, read routing, write retries

Writes go to the owner of the group's primary. A lost answer is retried under the same id and finally asked of the group, so "did not run" is reported only when no attempt is open. Reads go to the replica that is expected to answer first and has applied the floor. Weighed: retrying without a budget (retry storm at a failover) and retrying with a budget only (waiting requests miss the new primary); chosen: one free retry for each change of primary or owner, everything else from the budget.

--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -31,4 +31,16 @@
     linkFailed: message(1222, "link to VM {0} failed: {1}", "Retried by the entry VM if the outcome allows."),
     noConfiguration: message(1223, "this VM has no configuration yet", "Wait until it has one, or connect to another VM."),
     statementRejected: message(1224, "upstream {0} rejected the statement: {1}", "Correct the statement."),
+    floorNotConfirmed: message(
+        1230,
+        "the session's floor in {0} could not be confirmed in time",
+        "Pass the session token, or retry once the group's primary is reachable.",
+    ),
+    implicitCommit: message(1231, "{0} would commit the open transaction implicitly", "End the transaction before this statement."),
+    otherGroupInTransaction: message(
+        1232,
+        "a transaction is open on database {0}; {1} cannot take part in it",
+        "End the transaction before using another database.",
+    ),
+    transactionAborted: message(1233, "transaction {0} was rolled back after a failure", "Send ROLLBACK, then start the transaction again."),
 } as const;
--- /dev/null
+++ b/packages/routing/src/entryContext.ts
@@ -0,0 +1,18 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { EntryMetrics } from "./entryMetrics";
+import { PrimaryFinder } from "./primaryFinder";
+import { ReadRouter } from "./readRouter";
+import { RetryBudgets } from "./retryBudgets";
+import { SessionTokenCodec } from "./sessionTokenCodec";
+
+/** What all sessions of an entry VM share. */
+export interface EntryContext {
+    readonly clock: Clock;
+    readonly configuration: ConfigurationSource;
+    readonly tokens: SessionTokenCodec;
+    readonly finder: PrimaryFinder;
+    readonly router: ReadRouter;
+    readonly budgets: RetryBudgets;
+    readonly metrics: EntryMetrics;
+}
--- /dev/null
+++ b/packages/routing/src/entryMetrics.ts
@@ -0,0 +1,59 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Result } from "ts-results";
+
+/** Counts of finished statements of one class. */
+interface ClassCounters {
+    answered: number;
+    withinTarget: number;
+    didNotRun: number;
+    ran: number;
+    unknown: number;
+}
+
+/** What the entry role of a VM counts, by class of work; the daemon shows it under `/metrics`. */
+export class EntryMetrics {
+    public readonly latencies = LatencyMetrics.create();
+    /** Reads that a replica may serve by their class. */
+    public eligibleReads = 0;
+    /** Eligible reads that a replica served. */
+    public replicaReads = 0;
+    /** Attempts after the first that no newer view of the group asked for. */
+    public retries = 0;
+    /** Requests whose outcome had to be asked of the group. */
+    public resolutions = 0;
+    private readonly counters = new Map<string, ClassCounters>();
+
+    private constructor() {}
+
+    public static create(): EntryMetrics {
+        return new EntryMetrics();
+    }
+
+    public get classes(): ReadonlyMap<string, Readonly<ClassCounters>> {
+        return this.counters;
+    }
+
+    /** Records a finished statement. Its latency counts only if it was answered. */
+    public record(className: string, labels: string, latencyMs: number, targetMs: number, result: Result<unknown, Failure>): void {
+        const counters = this.obtainCounters(className);
+        if (result.ok) {
+            counters.answered++;
+            if (latencyMs <= targetMs) counters.withinTarget++;
+            this.latencies.record(labels, latencyMs);
+        }
+        else if (result.val.outcome === RunOutcome.DidNotRun) counters.didNotRun++;
+        else if (result.val.outcome === RunOutcome.Ran) counters.ran++;
+        else counters.unknown++;
+    }
+
+    private obtainCounters(className: string): ClassCounters {
+        let counters = this.counters.get(className);
+        if (counters === undefined) {
+            counters = { answered: 0, withinTarget: 0, didNotRun: 0, ran: 0, unknown: 0 };
+            this.counters.set(className, counters);
+        }
+        return counters;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/entryService.ts
@@ -0,0 +1,63 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { CallerSession } from "./callerSession";
+import { EntryContext } from "./entryContext";
+import { EntryMetrics } from "./entryMetrics";
+import { EntrySession } from "./entrySession";
+import { GroupDirectory } from "./groupDirectory";
+import { OwnerDirectory } from "./ownerDirectory";
+import { PrimaryCaller } from "./primaryCaller";
+import { PrimaryFinder } from "./primaryFinder";
+import { ReadExecutor } from "./readExecutor";
+import { ReadRouter } from "./readRouter";
+import { RetryBudgets } from "./retryBudgets";
+import { SessionTokenCodec } from "./sessionTokenCodec";
+import { WriteExecutor } from "./writeExecutor";
+
+/** What the entry role of a VM needs. */
+interface EntryServiceOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly configuration: ConfigurationSource;
+    readonly groups: GroupDirectory;
+    /** Must return the same link object for an upstream as long as its owner stays the same. */
+    readonly owners: OwnerDirectory;
+    /** Cluster key that signs session tokens. */
+    readonly tokenKey: Buffer;
+    readonly metrics?: EntryMetrics;
+}
+
+/** The entry role of a VM: sessions of callers, routing of their statements, and the outcome of each. */
+export class EntryService {
+    private constructor(
+        private readonly context: EntryContext,
+        private readonly caller: PrimaryCaller,
+        private readonly reads: ReadExecutor,
+        private readonly writes: WriteExecutor,
+    ) {}
+
+    public static create(options: EntryServiceOptions): EntryService {
+        const { clock, random, configuration, groups, owners, tokenKey } = options;
+        const context: EntryContext = {
+            clock,
+            configuration,
+            tokens: SessionTokenCodec.create(tokenKey),
+            finder: PrimaryFinder.create(clock, groups, owners),
+            router: ReadRouter.create(clock, random, groups, owners),
+            budgets: RetryBudgets.create(),
+            metrics: options.metrics ?? EntryMetrics.create(),
+        };
+        const caller = PrimaryCaller.create(context);
+        return new EntryService(context, caller, ReadExecutor.create(context, caller), WriteExecutor.create(context, caller));
+    }
+
+    public get metrics(): EntryMetrics {
+        return this.context.metrics;
+    }
+
+    /** Opens the session of a caller connection. */
+    public openSession(): CallerSession {
+        return EntrySession.create(this.context, this.caller, this.reads, this.writes);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/entrySession.ts
@@ -0,0 +1,168 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Err, Ok, Result } from "ts-results";
+import { AdmittedRequest } from "./admittedRequest";
+import { CallerSession } from "./callerSession";
+import { classifyStatement } from "./classifyStatement";
+import { Diagnostics } from "./diagnostics";
+import { EntryContext } from "./entryContext";
+import { OpenTransaction } from "./openTransaction";
+import { OwnerAnswer } from "./ownerAnswer";
+import { PrimaryCaller } from "./primaryCaller";
+import { ReadExecutor } from "./readExecutor";
+import { SessionFloors } from "./sessionFloors";
+import { SessionOptions } from "./sessionOptions";
+import { StatementAnswer } from "./statementAnswer";
+import { StatementKind } from "./statementKind";
+import { StatementRequest } from "./statementRequest";
+import { WriteExecutor } from "./writeExecutor";
+
+const emptyResult: StatementResult = { columns: [], rows: [], affectedRows: 0, insertId: 0, info: "" };
+
+function refuse(failure: Failure): Err<Failure> {
+    return Err(failure);
+}
+
+/** The session of one caller connection. */
+export class EntrySession implements CallerSession {
+    private readonly floors = SessionFloors.create();
+    private name: string | undefined;
+    private transaction: OpenTransaction | undefined;
+    private encodedToken: string | undefined;
+    private encodedRevision = -1;
+
+    private constructor(
+        private readonly context: EntryContext,
+        private readonly caller: PrimaryCaller,
+        private readonly reads: ReadExecutor,
+        private readonly writes: WriteExecutor,
+    ) {}
+
+    public static create(context: EntryContext, caller: PrimaryCaller, reads: ReadExecutor, writes: WriteExecutor): EntrySession {
+        return new EntrySession(context, caller, reads, writes);
+    }
+
+    public get token(): string {
+        if (this.encodedToken === undefined || this.encodedRevision !== this.floors.revision) {
+            this.encodedToken = this.context.tokens.encode(this.floors);
+            this.encodedRevision = this.floors.revision;
+        }
+        return this.encodedToken;
+    }
+
+    public get inTransaction(): boolean {
+        return this.transaction !== undefined;
+    }
+
+    /**
+     * A name that the session does not have yet starts another session, whose floors are those of its token, or have to
+     * be confirmed if it brought none.
+     */
+    public attach(options: SessionOptions): Result<void, Failure> {
+        const isOther = options.name !== undefined && options.name !== this.name;
+        const now = this.context.clock.now();
+        const floors = isOther ? SessionFloors.create() : this.floors;
+        if (options.token !== undefined && !this.context.tokens.decodeInto(options.token, floors, now)) {
+            return Err(createFailure(Diagnostics.invalidToken, RunOutcome.DidNotRun));
+        }
+        if (!isOther) return Ok.EMPTY;
+        this.name = options.name;
+        this.floors.clear();
+        this.floors.setComplete(options.token !== undefined && floors.isComplete);
+        for (const [group, floor] of floors.entries) this.floors.raise(group, floor, now);
+        return Ok.EMPTY;
+    }
+
+    public *execute(req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
+        const admitted = this.admit(req);
+        if (admitted.err) return admitted;
+        const request = admitted.val;
+        const { workClass, kind } = request;
+        const revision = this.floors.revision;
+        const result = yield* this.dispatch(request);
+        const labels = `class="${workClass.name}",rank="${workClass.rank}",kind="${kind}"`;
+        this.context.metrics.record(workClass.name, labels, this.context.clock.now() - req.arrivedAt, workClass.targetMs, result);
+        if (result.err || revision === this.floors.revision) return result;
+        return Ok({ ...result.val, token: this.token });
+    }
+
+    public *close(): Operation<void> {
+        const transaction = this.transaction;
+        this.transaction = undefined;
+        if (transaction !== undefined) yield* transaction.rollBack();
+    }
+
+    private admit(req: StatementRequest): Result<AdmittedRequest, Failure> {
+        const configuration = this.context.configuration.current;
+        if (configuration === undefined) return refuse(createFailure(Diagnostics.noConfiguration, RunOutcome.DidNotRun));
+        const workClass = configuration.classes.get(req.className);
+        if (workClass === undefined) return refuse(createFailure(Diagnostics.unknownClass, RunOutcome.DidNotRun, req.className));
+        const group = configuration.groups.get(req.group);
+        if (group === undefined) return refuse(createFailure(Diagnostics.unknownGroup, RunOutcome.DidNotRun, req.group));
+        const kind = classifyStatement(req.sql);
+        if (workClass.readOnly && (kind === StatementKind.Write || kind === StatementKind.Begin)) {
+            return refuse(createFailure(Diagnostics.readOnlyClass, RunOutcome.DidNotRun, req.className));
+        }
+        return Ok({ req, kind, workClass, group, deadline: req.arrivedAt + (req.timeoutMs ?? workClass.targetMs) });
+    }
+
+    private *dispatch(request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
+        if (this.transaction !== undefined) return yield* this.continueTransaction(this.transaction, request);
+        switch (request.kind) {
+            case StatementKind.Read:
+                return yield* this.read(request);
+            case StatementKind.Write:
+                return this.acceptWrite(request, yield* this.writes.execute(request));
+            case StatementKind.Begin:
+                return yield* this.begin(request);
+            case StatementKind.Commit:
+                // Unlike a MySQL server: a caller whose transaction was lost must not take its COMMIT for a success.
+                return refuse(createFailure(Diagnostics.noTransaction, RunOutcome.DidNotRun));
+            case StatementKind.Rollback:
+                return Ok({ result: emptyResult });
+        }
+    }
+
+    private *read(request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
+        if (request.workClass.maxAgeMs !== undefined) this.context.metrics.eligibleReads++;
+        const result = yield* this.reads.execute(request, this.floors);
+        return result.map(answer => ({ result: answer.result, upstream: answer.load.upstream }));
+    }
+
+    private *begin(request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
+        const begun = yield* OpenTransaction.begin(this.context, this.caller, request);
+        if (begun.err) return begun;
+        this.transaction = begun.val;
+        return Ok({ result: emptyResult, upstream: begun.val.upstream });
+    }
+
+    private *continueTransaction(transaction: OpenTransaction, request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
+        switch (request.kind) {
+            case StatementKind.Begin:
+                return refuse(createFailure(Diagnostics.transactionOpen, RunOutcome.DidNotRun));
+            case StatementKind.Commit: {
+                this.transaction = undefined;
+                return this.acceptWrite(request, yield* transaction.commit(request, this.writes));
+            }
+            case StatementKind.Rollback:
+                this.transaction = undefined;
+                yield* transaction.rollBack();
+                return Ok({ result: emptyResult, upstream: transaction.upstream });
+            default: {
+                const result = yield* transaction.execute(request);
+                return result.map(value => ({ result: value, upstream: transaction.upstream }));
+            }
+        }
+    }
+
+    private acceptWrite(request: AdmittedRequest, result: Result<OwnerAnswer, Failure>): Result<StatementAnswer, Failure> {
+        if (result.err) return result;
+        const { at, load, result: value } = result.val;
+        this.floors.raise(request.group.name, at, this.context.clock.now());
+        this.context.router.recordEntry(request.group.name, at);
+        return Ok({ result: value, upstream: load.upstream });
+    }
+}
--- /dev/null
+++ b/packages/routing/src/knownPrimary.ts
@@ -0,0 +1,8 @@
+import { OwnerLink } from "./ownerLink";
+
+/** A group's primary as an entry VM knows it. */
+export interface KnownPrimary {
+    readonly upstream: string;
+    readonly term: number;
+    readonly owner: OwnerLink;
+}
--- /dev/null
+++ b/packages/routing/src/readExecutor.ts
@@ -0,0 +1,205 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Err, Ok, Result } from "ts-results";
+import { AdmittedRequest } from "./admittedRequest";
+import { Diagnostics } from "./diagnostics";
+import { EntryContext } from "./entryContext";
+import { OwnerAnswer } from "./ownerAnswer";
+import { PrimaryCaller } from "./primaryCaller";
+import { ReadChoice } from "./readChoice";
+import { SessionFloors } from "./sessionFloors";
+import { StatementKind } from "./statementKind";
+import { watchOperation } from "./watchOperation";
+
+/** A read whose answer takes this many times as long as expected is sent to another upstream as well. */
+const patienceFactor = 4;
+const shortestPatienceMs = 40;
+const roundPauseMs = 20;
+/** A replica without a proof of freshness is not asked again for this share of the allowed age, within this bound. */
+const freshnessPauseShare = 0.25;
+const longestFreshnessPauseMs = 500;
+
+/** Failures that say nothing against the upstream. */
+const refusalCodes: ReadonlySet<number> = new Set([
+    Diagnostics.statementRejected.code,
+    Diagnostics.deadlineNotFeasible.code,
+    Diagnostics.shareExceeded.code,
+]);
+
+/** The floor of a read and since when this VM knows it. */
+interface ReadFloor {
+    readonly entry: LogPosition | undefined;
+    readonly knownSince: number;
+}
+
+/** Runs reads on the upstreams that the router chooses. */
+export class ReadExecutor {
+    private constructor(private readonly context: EntryContext, private readonly caller: PrimaryCaller) {}
+
+    public static create(context: EntryContext, caller: PrimaryCaller): ReadExecutor {
+        return new ReadExecutor(context, caller);
+    }
+
+    /**
+     * Runs a read on an upstream that has applied the session's floor. An upstream that refuses or fails is left out
+     * until all were asked; a further round needs the retry budget.
+     */
+    public *execute(request: AdmittedRequest, floors: SessionFloors): Operation<Result<OwnerAnswer, Failure>> {
+        const group = request.group.name;
+        if (floors.needsConfirmation(group)) {
+            const confirmed = yield* this.confirmFloor(request, floors);
+            if (confirmed.err) return confirmed;
+        }
+        const floor = { entry: floors.find(group), knownSince: floors.findKnownSince(group) };
+        const result = yield* this.tryUpstreams(request, floor);
+        if (result.ok) this.context.budgets.obtain(group).recordSuccess();
+        return result;
+    }
+
+    private *tryUpstreams(request: AdmittedRequest, floor: ReadFloor): Operation<Result<OwnerAnswer, Failure>> {
+        const { clock, router } = this.context;
+        const excluded = new Set<string>();
+        let failure = createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, request.group.name);
+        let mayHaveRun = false;
+        while (clock.now() < request.deadline) {
+            const choice = router.choose(request, floor, excluded);
+            if (choice === undefined) {
+                if (!(yield* this.awaitRound(request, excluded))) break;
+                continue;
+            }
+            const result = yield* this.send(request, choice, floor, excluded);
+            if (result.ok) return result;
+            failure = result.val;
+            mayHaveRun ||= failure.outcome !== RunOutcome.DidNotRun;
+            excluded.add(choice.upstream);
+            this.recordFailure(request, choice, floor, failure);
+            // Shed reads are not passed on: that would carry an overload of the replicas to the primary.
+            if (this.isRefusal(failure)) break;
+        }
+        // A lost attempt may still run, so a later refusal must not be reported as "did not run".
+        return Err(mayHaveRun && failure.outcome === RunOutcome.DidNotRun ? { ...failure, outcome: RunOutcome.Unknown } : failure);
+    }
+
+    private *send(
+        request: AdmittedRequest,
+        choice: ReadChoice,
+        floor: ReadFloor,
+        excluded: ReadonlySet<string>,
+    ): Operation<Result<OwnerAnswer, Failure>> {
+        const { clock, router } = this.context;
+        if (choice.waitMs > 0) yield* sleep(clock, choice.waitMs);
+        const sentAt = clock.now();
+        const limitMs = request.deadline - sentAt;
+        const knowledge = router.obtainKnowledge(choice.upstream);
+        const checkMs = Math.max(shortestPatienceMs, patienceFactor * (choice.expectedMs - choice.waitMs));
+        const isHopeless = (): boolean => this.mayHedge(request, choice, floor, excluded);
+        knowledge.startRequest();
+        try {
+            const result = yield* watchOperation(clock, { limitMs, checkMs, isHopeless }, this.callOwner(request, choice, floor, limitMs));
+            if (result === undefined) return Err(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(clock.now() - sentAt)));
+            if (result.ok) this.recordAnswer(request, choice, result.val, clock.now() - sentAt);
+            return result;
+        }
+        finally {
+            knowledge.endRequest();
+        }
+    }
+
+    private *callOwner(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, timeoutMs: number): Operation<Result<OwnerAnswer, Failure>> {
+        const { req, workClass } = request;
+        const result = yield* choice.owner.execute({
+            requestId: req.requestId,
+            upstream: choice.upstream,
+            group: request.group.name,
+            className: workClass.name,
+            rank: workClass.rank,
+            franchisee: req.franchisee,
+            kind: StatementKind.Read,
+            sql: req.sql,
+            timeoutMs,
+            floor: floor.entry,
+            maxAgeMs: workClass.maxAgeMs ?? 0,
+            repeatable: true,
+        });
+        return result.ok ? this.verify(request, choice, floor, result.val) : result;
+    }
+
+    /** Checks an answer against what was asked, whatever the owner and the upstream checked themselves. */
+    private verify(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, answer: OwnerAnswer): Result<OwnerAnswer, Failure> {
+        if (answer.requestId !== request.req.requestId) {
+            return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, request.req.requestId));
+        }
+        if (floor.entry !== undefined && compareLogPositions(answer.at, floor.entry) < 0) {
+            const entry = `${floor.entry.term}.${floor.entry.position}`;
+            return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.Ran, choice.upstream, entry));
+        }
+        return Ok(answer);
+    }
+
+    private recordAnswer(request: AdmittedRequest, choice: ReadChoice, answer: OwnerAnswer, elapsedMs: number): void {
+        const { router, metrics } = this.context;
+        router.recordAnswer(request.group.name, answer.load, elapsedMs);
+        if (choice.isPrimary) router.recordEntry(request.group.name, answer.at);
+        else metrics.replicaReads++;
+    }
+
+    private recordFailure(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, failure: Failure): void {
+        const { clock, finder, router } = this.context;
+        const knowledge = router.obtainKnowledge(choice.upstream);
+        finder.learn(failure);
+        if (failure.code === Diagnostics.floorNotApplied.code) knowledge.recordMissedFloor(clock.now() - floor.knownSince);
+        else if (failure.code === Diagnostics.notFreshEnough.code) {
+            const pauseMs = Math.min(longestFreshnessPauseMs, freshnessPauseShare * (request.workClass.maxAgeMs ?? 0));
+            knowledge.recordNotFresh(pauseMs, clock.now());
+        }
+        else if (!this.isRefusal(failure)) knowledge.recordFailure(clock.now());
+    }
+
+    private isRefusal(failure: Failure): boolean {
+        return refusalCodes.has(failure.code);
+    }
+
+    /** Whether the read goes to another upstream although this one may still answer. */
+    private mayHedge(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, excluded: ReadonlySet<string>): boolean {
+        const { router, budgets } = this.context;
+        if (router.hasOtherOwner(choice)) return true;
+        const others = new Set([...excluded, choice.upstream]);
+        const alternative = router.choose(request, floor, others);
+        if (alternative === undefined || alternative.isPrimary) return false;
+        return budgets.obtain(request.group.name).tryTake();
+    }
+
+    /** Waits before the upstreams are asked again. Returns whether they may be. */
+    private *awaitRound(request: AdmittedRequest, excluded: Set<string>): Operation<boolean> {
+        const { clock, finder, budgets, metrics } = this.context;
+        const group = request.group.name;
+        const leftMs = request.deadline - clock.now();
+        const primary = finder.find(group);
+        const hasNews = (): boolean => primary === undefined ? finder.find(group) !== undefined : finder.hasMoved(group, primary);
+        if (excluded.size > 0 && !budgets.obtain(group).tryTake()) {
+            if (!(yield* finder.waitUntil(hasNews, leftMs))) return false;
+        }
+        else {
+            yield* finder.waitUntil(hasNews, Math.min(roundPauseMs, leftMs));
+            if (excluded.size > 0) metrics.retries++;
+        }
+        excluded.clear();
+        return true;
+    }
+
+    /** Asks for the position of the primary, which no entry acknowledged so far can exceed. */
+    private *confirmFloor(request: AdmittedRequest, floors: SessionFloors): Operation<Result<void, Failure>> {
+        const { clock, router } = this.context;
+        const group = request.group.name;
+        const { result } = yield* this.caller.call(request, 0, true, (primary, timeoutMs) => primary.owner.confirmPosition(group, primary.upstream, timeoutMs));
+        if (result.err) return Err({ ...createFailure(Diagnostics.floorNotConfirmed, RunOutcome.DidNotRun, group), details: result.val });
+        router.recordEntry(group, result.val.position);
+        floors.raise(group, result.val.position, clock.now());
+        return Ok.EMPTY;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/readRouter.ts
@@ -0,0 +1,122 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { AdmittedRequest } from "./admittedRequest";
+import { GroupDirectory } from "./groupDirectory";
+import { GroupProgress } from "./groupProgress";
+import { OwnerDirectory } from "./ownerDirectory";
+import { OwnerLoad } from "./ownerLoad";
+import { ReadChoice } from "./readChoice";
+import { UpstreamKnowledge } from "./upstreamKnowledge";
+
+/** Time of a slot of the primary is worth more than that of a replica, because only the primary can write. */
+const primaryPremiumMs = 10;
+/** Share of the remaining time that a read may wait for a replica before it is sent. */
+const waitShare = 0.25;
+/** Spreads reads of many VMs whose knowledge is equally old. */
+const spread = 0.3;
+
+/** Added to the expected time of an upstream that failed or lacked a proof of freshness a moment ago, in milliseconds. */
+const avoidedMs = 1_000_000_000;
+
+/** The floor of a read and since when this VM knows it. */
+interface ReadFloor {
+    readonly entry: LogPosition | undefined;
+    readonly knownSince: number;
+}
+
+/** Chooses the upstream of each read from what the owners' answers say. */
+export class ReadRouter {
+    private readonly knowledge = new Map<string, UpstreamKnowledge>();
+    private readonly progress = new Map<string, GroupProgress>();
+
+    private constructor(
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+        private readonly groups: GroupDirectory,
+        private readonly owners: OwnerDirectory,
+    ) {}
+
+    public static create(clock: Clock, random: RandomSource, groups: GroupDirectory, owners: OwnerDirectory): ReadRouter {
+        return new ReadRouter(clock, random, groups, owners);
+    }
+
+    /**
+     * Chooses among the upstreams of the group that are not in `excluded`; undefined if none is left.
+     *
+     * The cheapest replica serves the read unless its expected wait for the floor makes it dearer than the primary. A
+     * long queue alone sends no read to the primary: an overload of reads would then take slots from writes.
+     */
+    public choose(request: AdmittedRequest, floor: ReadFloor, excluded: ReadonlySet<string>): ReadChoice | undefined {
+        const primaryId = this.groups.find(request.group.name)?.primary;
+        let replica: ReadChoice | undefined;
+        let primary: ReadChoice | undefined;
+        for (const upstream of request.group.upstreams) {
+            if (excluded.has(upstream.id)) continue;
+            const isPrimary = upstream.id === primaryId;
+            if (!isPrimary && request.workClass.maxAgeMs === undefined) continue;
+            const choice = this.assess(upstream, isPrimary, floor);
+            if (choice === undefined) continue;
+            if (isPrimary) primary = choice;
+            else if (replica === undefined || choice.expectedMs < replica.expectedMs) replica = choice;
+        }
+        return this.compare(replica, primary, request.deadline);
+    }
+
+    /** Whether the upstream of a choice has another owner by now. */
+    public hasOtherOwner(choice: ReadChoice): boolean {
+        const owner = this.owners.findOwner(choice.upstream);
+        return owner !== undefined && owner !== choice.owner;
+    }
+
+    public obtainKnowledge(upstream: string): UpstreamKnowledge {
+        let known = this.knowledge.get(upstream);
+        if (known === undefined) {
+            known = UpstreamKnowledge.create();
+            this.knowledge.set(upstream, known);
+        }
+        return known;
+    }
+
+    /** Takes note of an acknowledged entry of a group. */
+    public recordEntry(group: string, entry: LogPosition): void {
+        this.obtainProgress(group).record(entry, this.clock.now());
+    }
+
+    /** Takes note of an owner's answer. */
+    public recordAnswer(group: string, load: OwnerLoad, elapsedMs: number): void {
+        const now = this.clock.now();
+        const lagMs = this.obtainProgress(group).measureLag(load.applied, now);
+        this.obtainKnowledge(load.upstream).recordAnswer(load, elapsedMs, lagMs, now);
+    }
+
+    private compare(replica: ReadChoice | undefined, primary: ReadChoice | undefined, deadline: number): ReadChoice | undefined {
+        if (replica === undefined || primary === undefined) return replica ?? primary;
+        if (replica.expectedMs >= avoidedMs) return primary;
+        if (replica.waitMs === 0) return replica;
+        if (replica.waitMs > waitShare * (deadline - this.clock.now())) return primary;
+        return replica.expectedMs <= primary.expectedMs + primaryPremiumMs ? replica : primary;
+    }
+
+    private assess(upstream: UpstreamSettings, isPrimary: boolean, floor: ReadFloor): ReadChoice | undefined {
+        if (upstream.leaving === true || this.owners.isLeaving(upstream.id)) return undefined;
+        const owner = this.owners.findOwner(upstream.id);
+        if (owner === undefined) return undefined;
+        const now = this.clock.now();
+        const knowledge = this.obtainKnowledge(upstream.id);
+        const waitMs = isPrimary ? 0 : knowledge.expectFloorMs(floor.entry, floor.knownSince, now);
+        const answerMs = knowledge.expectAnswerMs(upstream.slots, now) * (1 + spread * this.random.next());
+        const avoidanceMs = knowledge.isAvoided(now) || knowledge.isFreshnessDoubtful(now) ? avoidedMs : 0;
+        return { upstream: upstream.id, owner, isPrimary, waitMs, expectedMs: waitMs + answerMs + avoidanceMs };
+    }
+
+    private obtainProgress(group: string): GroupProgress {
+        let progress = this.progress.get(group);
+        if (progress === undefined) {
+            progress = GroupProgress.create();
+            this.progress.set(group, progress);
+        }
+        return progress;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/retryBudgets.ts
@@ -0,0 +1,21 @@
+import { RetryBudget } from "./retryBudget";
+
+/** The retry budget of each database group, so that the failure of one group leaves the budgets of the others alone. */
+export class RetryBudgets {
+    private readonly budgets = new Map<string, RetryBudget>();
+
+    private constructor() {}
+
+    public static create(): RetryBudgets {
+        return new RetryBudgets();
+    }
+
+    public obtain(group: string): RetryBudget {
+        let budget = this.budgets.get(group);
+        if (budget === undefined) {
+            budget = RetryBudget.create();
+            this.budgets.set(group, budget);
+        }
+        return budget;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/upstreamKnowledge.ts
@@ -0,0 +1,103 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { OwnerLoad } from "./ownerLoad";
+
+const initialBaseMs = 1;
+const initialServiceMs = 5;
+/** The base follows a rise slowly and a fall at once, so that queueing does not pass for distance. */
+const baseRise = 0.02;
+const serviceWeight = 0.1;
+/** A reported queue says little after this time, in milliseconds. */
+const queueMemoryMs = 200;
+const shortestAvoidanceMs = 50;
+const longestAvoidanceMs = 1000;
+/** Lag that a refused floor suggests decays with every floor that was met. */
+const lagDecay = 0.8;
+
+/** What this VM knows of one upstream from the answers of its owner. */
+export class UpstreamKnowledge {
+    private baseMs = initialBaseMs;
+    private serviceMs = initialServiceMs;
+    private queueDelayMs = 0;
+    private heardAt = Number.NEGATIVE_INFINITY;
+    private appliedEntry: LogPosition | undefined;
+    private lag = 0;
+    private pending = 0;
+    private avoidedUntil = Number.NEGATIVE_INFINITY;
+    private avoidanceMs = shortestAvoidanceMs;
+    private notFreshUntil = Number.NEGATIVE_INFINITY;
+
+    private constructor() {}
+
+    public static create(): UpstreamKnowledge {
+        return new UpstreamKnowledge();
+    }
+
+    /** Last entry that the upstream is known to have applied. */
+    public get applied(): LogPosition | undefined {
+        return this.appliedEntry;
+    }
+
+    /** Expected replication delay in milliseconds. */
+    public get lagMs(): number {
+        return this.lag;
+    }
+
+    public startRequest(): void {
+        this.pending++;
+    }
+
+    public endRequest(): void {
+        this.pending--;
+    }
+
+    /** Takes note of an answer that took `elapsedMs` milliseconds. `lagMs` is the delay that its applied entry shows. */
+    public recordAnswer(load: OwnerLoad, elapsedMs: number, lagMs: number, now: number): void {
+        const unqueuedMs = Math.max(0, elapsedMs - load.queueDelayMs);
+        this.baseMs = unqueuedMs < this.baseMs ? unqueuedMs : this.baseMs + baseRise * (unqueuedMs - this.baseMs);
+        this.serviceMs += serviceWeight * (unqueuedMs - this.serviceMs);
+        this.queueDelayMs = load.queueDelayMs;
+        this.heardAt = now;
+        this.lag = Math.max(lagMs, this.lag * lagDecay);
+        this.avoidanceMs = shortestAvoidanceMs;
+        this.avoidedUntil = Number.NEGATIVE_INFINITY;
+        if (this.appliedEntry === undefined || compareLogPositions(load.applied, this.appliedEntry) > 0) this.appliedEntry = load.applied;
+    }
+
+    /** Takes note that a floor known for `knownMs` milliseconds was not applied. */
+    public recordMissedFloor(knownMs: number): void {
+        this.lag = Math.max(this.lag * 2, knownMs + 1);
+    }
+
+    /** Takes note that the upstream's data was not proven fresh enough; it is not asked again for `pauseMs`. */
+    public recordNotFresh(pauseMs: number, now: number): void {
+        this.notFreshUntil = now + pauseMs;
+    }
+
+    /** Takes note that the upstream or its owner could not be reached. Repeated failures are avoided for longer. */
+    public recordFailure(now: number): void {
+        this.avoidedUntil = now + this.avoidanceMs;
+        this.avoidanceMs = Math.min(longestAvoidanceMs, this.avoidanceMs * 2);
+    }
+
+    public isAvoided(now: number): boolean {
+        return now < this.avoidedUntil;
+    }
+
+    public isFreshnessDoubtful(now: number): boolean {
+        return now < this.notFreshUntil;
+    }
+
+    /** Expected time until an answer, in milliseconds, if the upstream can serve at once. */
+    public expectAnswerMs(slots: number, now: number): number {
+        const memory = Math.exp(-Math.max(0, now - this.heardAt) / queueMemoryMs);
+        return this.baseMs + this.queueDelayMs * memory + (this.pending * this.serviceMs) / slots;
+    }
+
+    /** Expected time until an entry known here since `knownSince` is applied, in milliseconds; 0 if it is. */
+    public expectFloorMs(floor: LogPosition | undefined, knownSince: number, now: number): number {
+        if (floor === undefined) return 0;
+        if (this.appliedEntry !== undefined && compareLogPositions(this.appliedEntry, floor) >= 0) return 0;
+        return Math.max(0, knownSince + this.lag - now);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/writeExecutor.ts
@@ -0,0 +1,84 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err, Result } from "ts-results";
+import { AdmittedRequest } from "./admittedRequest";
+import { Diagnostics } from "./diagnostics";
+import { EntryContext } from "./entryContext";
+import { KnownPrimary } from "./knownPrimary";
+import { OwnerAnswer } from "./ownerAnswer";
+import { PrimaryCaller } from "./primaryCaller";
+import { StatementKind } from "./statementKind";
+
+/** Share of a request's time, and its bounds in milliseconds, that is kept back for asking after a lost answer. */
+const reserveShare = 0.2;
+const longestReserveMs = 200;
+/** Pause between questions after an outcome that the group could not answer, in milliseconds. */
+const resolvePauseMs = 20;
+
+/** Runs writes on the owner of the group's primary until their outcome is known. */
+export class WriteExecutor {
+    private constructor(private readonly context: EntryContext, private readonly caller: PrimaryCaller) {}
+
+    public static create(context: EntryContext, caller: PrimaryCaller): WriteExecutor {
+        return new WriteExecutor(context, caller);
+    }
+
+    /**
+     * Runs a write. After a lost answer it is sent again under the same id, which the group executes at most once; with
+     * little time left, or after a refusal, the group is asked instead. A failure says that the write did not run only
+     * if no attempt was left open.
+     */
+    public *execute(request: AdmittedRequest): Operation<Result<OwnerAnswer, Failure>> {
+        const reserveMs = Math.min(longestReserveMs, reserveShare * (request.deadline - this.context.clock.now()));
+        const { result, isOpen } = yield* this.caller.call(request, reserveMs, true, (primary, timeoutMs) => this.send(request, primary, timeoutMs));
+        if (result.ok || !isOpen) return result;
+        return yield* this.resolve(request, request.req.requestId);
+    }
+
+    /** Asks the group after the outcome of a request until it is known or the deadline is reached. */
+    public *resolve(request: AdmittedRequest, requestId: string): Operation<Result<OwnerAnswer, Failure>> {
+        const { clock, finder, metrics } = this.context;
+        const group = request.group.name;
+        metrics.resolutions++;
+        while (clock.now() < request.deadline) {
+            const primary = finder.find(group);
+            if (primary === undefined) {
+                yield* finder.waitUntil(() => finder.find(group) !== undefined, request.deadline - clock.now());
+                continue;
+            }
+            const result = yield* this.caller.watchCall(
+                request,
+                primary,
+                (current, timeoutMs) => current.owner.resolveOutcome({ requestId, group, upstream: current.upstream, term: current.term, timeoutMs }),
+            );
+            // A refused or lost question says nothing of the request; only its recorded cancellation does.
+            if (result.ok || result.val.code === Diagnostics.requestCancelled.code) return result;
+            finder.learn(result.val);
+            yield* finder.waitUntil(() => finder.hasMoved(group, primary), Math.min(resolvePauseMs, request.deadline - clock.now()));
+        }
+        return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, requestId));
+    }
+
+    private *send(request: AdmittedRequest, primary: KnownPrimary, timeoutMs: number): Operation<Result<OwnerAnswer, Failure>> {
+        const { req, workClass } = request;
+        const result = yield* primary.owner.execute({
+            requestId: req.requestId,
+            upstream: primary.upstream,
+            group: request.group.name,
+            className: workClass.name,
+            rank: workClass.rank,
+            franchisee: req.franchisee,
+            kind: StatementKind.Write,
+            sql: req.sql,
+            timeoutMs,
+            term: primary.term,
+            repeatable: req.repeatable,
+        });
+        if (result.ok && result.val.requestId !== req.requestId) {
+            return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, req.requestId));
+        }
+        return result;
+    }
+}
