Test the entry role against naive routing by property

Each test names the property of the design that it guards and first shows that the naive version (any replica, guess by time, blind retry) breaks it on the same inputs.

--- /dev/null
+++ b/packages/routing/src/entryService.test.ts
@@ -0,0 +1,298 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { StatementKind } from "./statementKind";
+import { StatementRequest } from "./statementRequest";
+import { EntryTestBed } from "./testing/entryTestBed";
+import { FakeFault } from "./testing/fakeFault";
+
+const runs = { numRuns: 150, seed: 20261204 };
+const upstreams = ["u1", "u2", "u3"];
+const aRead = "SELECT * FROM stock";
+const aWrite = "UPDATE stock SET n = n - 1";
+
+/** Whether the property fails for some generated input, as it must for the naive version. */
+function fails<T>(arbitrary: fc.Arbitrary<T>, holds: (input: T) => boolean): boolean {
+    return fc.check(fc.property(arbitrary, holds), runs).failed;
+}
+
+function holdsAlways<T>(arbitrary: fc.Arbitrary<T>, holds: (input: T) => boolean): void {
+    fc.assert(fc.property(arbitrary, holds), runs);
+}
+
+/** Draws the faults of consecutive calls; none once the list is used up. */
+function scriptFaults(bed: EntryTestBed, faults: readonly FakeFault[]): void {
+    let index = 0;
+    bed.group.nextFault = () => faults[index++] ?? FakeFault.None;
+}
+
+const anyFault = fc.constantFrom(FakeFault.None, FakeFault.Refuse, FakeFault.LoseRequest, FakeFault.LoseReply, FakeFault.RunLate);
+const faultLists = fc.array(anyFault, { minLength: 1, maxLength: 8 });
+
+interface Step {
+    readonly do: "write" | "read" | "roam" | "failover";
+    readonly vm: number;
+    readonly lag: number;
+    readonly keepsToken: boolean;
+}
+
+const sessionSteps = fc.array(
+    fc.record({
+        do: fc.constantFrom<Step["do"]>("write", "read", "read", "roam", "failover"),
+        vm: fc.nat(2),
+        lag: fc.constantFrom(0, 5, 40, 60_000),
+        keepsToken: fc.boolean(),
+    }),
+    { minLength: 4, maxLength: 25 },
+);
+
+/** Plays a roaming session; returns whether each answered read saw the last acknowledged write of the session. */
+function readsOwnWrites(steps: readonly Step[], readNaively: boolean, counts = { reads: 0, answered: 0 }): boolean {
+    const bed = EntryTestBed.create(3);
+    let session = bed.vms[0]!.openSession();
+    let acknowledged = 0;
+    session.attach({ name: "s1" });
+    for (const step of steps) {
+        upstreams.forEach(upstream => bed.group.lagMs.set(upstream, step.lag));
+        if (step.do === "failover") bed.group.changePrimary(upstreams[step.vm]);
+        else if (step.do === "roam") {
+            const token = session.token;
+            session = bed.vms[step.vm]!.openSession();
+            session.attach({ name: "s1", token: step.keepsToken ? token : undefined });
+        }
+        else if (step.do === "write") {
+            if (bed.run(session.execute(bed.makeRequest("orders", aWrite))).ok) acknowledged = bed.group.last.position;
+        }
+        else if (readNaively) {
+            if (bed.group.readApplied(upstreams[step.vm]!).position < acknowledged) return false;
+        }
+        else {
+            const answer = bed.run(session.execute(bed.makeRequest("catalogue", aRead)));
+            counts.reads++;
+            if (answer.ok) counts.answered++;
+            if (answer.ok && Number(answer.val.result.rows[0]![2]) < acknowledged) return false;
+        }
+    }
+    return true;
+}
+
+test("P1: a session that roams, loses its token and meets failovers and lagging replicas reads its own writes", () => {
+    assert.ok(fails(sessionSteps, steps => readsOwnWrites(steps, true)), "reading any replica must break the property");
+    const counts = { reads: 0, answered: 0 };
+    holdsAlways(sessionSteps, steps => readsOwnWrites(steps, false, counts));
+    assert.ok(counts.answered >= 0.99 * counts.reads, `answered ${counts.answered} of ${counts.reads} reads`);
+});
+
+test("P1: a forged, altered or oversized token is refused with its number and changes nothing", () => {
+    const bed = EntryTestBed.create(1);
+    const session = bed.vms[0]!.openSession();
+    assert.ok(bed.run(session.execute(bed.makeRequest("orders", aWrite))).ok);
+    const token = session.token;
+    const altered = token.slice(0, -1) + (token.endsWith("A") ? "B" : "A");
+    for (const forged of ["", "x", altered, token + "AAAA", "A".repeat(5000), "é".repeat(40)]) {
+        const result = bed.vms[0]!.openSession().attach({ name: "s", token: forged });
+        assert.ok(result.err && result.val.code === Diagnostics.invalidToken.code, forged);
+    }
+    assert.ok(bed.vms[0]!.openSession().attach({ token }).ok);
+});
+
+/** Runs concurrent statements; returns whether each answered one got the answer to its own text. */
+function matchesAnswers(faults: readonly FakeFault[], isNaive: boolean): boolean {
+    const bed = EntryTestBed.create(1);
+    scriptFaults(bed, faults);
+    const texts = faults.map((_, index) => `${index % 2 === 0 ? aRead : aWrite} /* ${index} */`);
+    const owners = bed.group.createDirectory();
+    const tasks = texts.map(sql => {
+        const req = bed.makeRequest("orders", sql);
+        if (!isNaive) return Task.start(bed.vms[0]!.openSession().execute(req));
+        const routed = { ...req, upstream: "u1", rank: Rank.Urgent, kind: StatementKind.Read as const, timeoutMs: 400 };
+        return Task.start(owners.findOwner("u1")!.execute(routed));
+    });
+    bed.clock.advance(1000);
+    return tasks.every((task, index) => {
+        let isOwn = true;
+        task.deliver(result => isOwn = result.err || ["", texts[index]].includes(result.val.result.rows[0]![0]), () => isOwn = false);
+        return isOwn;
+    });
+}
+
+test("P4: an answer that belongs to another request never reaches the caller", () => {
+    const faults = fc.array(fc.constantFrom(FakeFault.None, FakeFault.MixUp, FakeFault.LoseReply), { minLength: 2, maxLength: 10 });
+    assert.ok(fails(faults, list => matchesAnswers(list, true)), "taking whatever arrives must break the property");
+    holdsAlways(faults, list => matchesAnswers(list, false));
+});
+
+/** Sends a write through faults; returns whether a refusal as "did not run" stayed true for good. */
+function refusesTruthfully(faults: readonly FakeFault[], guessByTime: boolean): boolean {
+    const bed = EntryTestBed.create(1);
+    scriptFaults(bed, faults);
+    const req = bed.makeRequest("orders", aWrite);
+    const result = bed.run(bed.vms[0]!.openSession().execute(guessByTime ? { ...req, timeoutMs: 10 } : req));
+    bed.clock.advance(1000);
+    if (result.ok) return bed.group.countExecutions(req.requestId) === 1;
+    const outcome = guessByTime ? RunOutcome.DidNotRun : result.val.outcome;
+    return outcome !== RunOutcome.DidNotRun || bed.group.countExecutions(req.requestId) === 0;
+}
+
+test("P5: a write refused as \"did not run\" never runs, whatever was lost or delayed on the way", () => {
+    assert.ok(fails(faultLists, list => refusesTruthfully(list, true)), "guessing by time must break the property");
+    holdsAlways(faultLists, list => refusesTruthfully(list, false));
+});
+
+test("P5: an outcome is reported as unknown only when the group stays out of reach", () => {
+    holdsAlways(faultLists, list => {
+        const bed = EntryTestBed.create(1);
+        scriptFaults(bed, list);
+        const result = bed.run(bed.vms[0]!.openSession().execute(bed.makeRequest("orders", aWrite)));
+        return result.ok || result.val.outcome !== RunOutcome.Unknown;
+    });
+    const bed = EntryTestBed.create(1);
+    bed.group.nextFault = () => FakeFault.LoseReply;
+    const result = bed.run(bed.vms[0]!.openSession().execute(bed.makeRequest("orders", aWrite)));
+    assert.ok(result.err && result.val.code === Diagnostics.outcomeUnknown.code && result.val.outcome === RunOutcome.Unknown);
+});
+
+/** Sends an order, then again from another VM if it was not answered; returns whether it ran at most once. */
+function runsAtMostOnce(faults: readonly FakeFault[], blindRetry: boolean): boolean {
+    const bed = EntryTestBed.create(2);
+    scriptFaults(bed, faults);
+    const ids: string[] = [];
+    for (const vm of bed.vms) {
+        const req = bed.makeRequest("orders", aWrite, blindRetry ? undefined : "order-1");
+        ids.push(req.requestId);
+        if (bed.run(vm.openSession().execute({ ...req, timeoutMs: blindRetry ? 4 : 100 })).ok) break;
+    }
+    bed.clock.advance(1000);
+    return [...new Set(ids)].reduce((sum, id) => sum + bed.group.countExecutions(id), 0) <= 1;
+}
+
+test("P6: an order that the caller repeats under its id on another VM runs at most once", () => {
+    assert.ok(fails(faultLists, list => runsAtMostOnce(list, true)), "a blind retry must break the property");
+    holdsAlways(faultLists, list => runsAtMostOnce(list, false));
+});
+
+/** Reads for four seconds in a zone that lost the primary at time 0; returns the ages of the answers, in milliseconds. */
+function readIsolated(isNaive: boolean): readonly number[] {
+    const bed = EntryTestBed.create(1, upstream => upstream !== "u1");
+    const owner = bed.group.createDirectory().findOwner("u2")!;
+    bed.group.lagMs.set("u2", 100).set("u3", 100);
+    bed.group.canConfirm = false;
+    const ages: number[] = [];
+    for (let time = 0; time < 4000; time += 100) {
+        bed.clock.advanceTo(Math.max(time, bed.clock.now()));
+        const req = bed.makeRequest("catalogue", aRead);
+        const routed = { ...req, upstream: "u2", rank: Rank.Background, kind: StatementKind.Read as const, timeoutMs: 400 };
+        const result = bed.run<Result<unknown, Failure>>(isNaive ? owner.execute(routed) : bed.vms[0]!.openSession().execute(req));
+        if (result.ok) ages.push(100 + bed.clock.now());
+        else assert.ok(result.val.code === Diagnostics.notFreshEnough.code && result.val.outcome === RunOutcome.DidNotRun, result.val.message);
+    }
+    return ages;
+}
+
+test("freshness: an isolated zone serves what it can prove young enough and refuses the rest with a number", () => {
+    assert.ok(Math.max(...readIsolated(true)) > 1000, "a replica read without a proof must break the property");
+    const ages = readIsolated(false);
+    assert.ok(ages.length >= 8, "data that is proven young enough must be served");
+    assert.ok(Math.max(...ages) <= 1000 + 2);
+});
+
+test("freshness: an isolated former primary does not answer a read that must see the latest state", () => {
+    const bed = EntryTestBed.create(1, upstream => upstream === "u1");
+    bed.group.canConfirm = false;
+    const result = bed.run(bed.vms[0]!.openSession().execute(bed.makeRequest("orders", aRead)));
+    assert.ok(result.err && result.val.code === Diagnostics.notFreshEnough.code);
+    assert.equal(result.val.outcome, RunOutcome.DidNotRun);
+});
+
+test("read share: over 90% of eligible reads go to replicas although sessions write and replicas lag", () => {
+    const bed = EntryTestBed.create(2);
+    bed.group.lagMs.set("u2", 8).set("u3", 8);
+    for (let round = 0; round < 400; round++) {
+        const session = bed.vms[round % 2]!.openSession();
+        if (round % 4 === 0) assert.ok(bed.run(session.execute(bed.makeRequest("orders", aWrite))).ok);
+        assert.ok(bed.run(session.execute(bed.makeRequest("catalogue", aRead))).ok);
+    }
+    const sum = bed.vms.reduce((total, vm) => total + vm.metrics.replicaReads / vm.metrics.eligibleReads / 2, 0);
+    assert.ok(sum > 0.9, `share ${sum}`);
+});
+
+test("P7: a leaving upstream gets no new reads", () => {
+    const bed = EntryTestBed.create(1);
+    bed.group.leaving.add("u2");
+    for (let round = 0; round < 50; round++) assert.ok(bed.run(bed.vms[0]!.openSession().execute(bed.makeRequest("catalogue", aRead))).ok);
+    assert.equal(bed.group.attempts.get("u2") ?? 0, 0);
+});
+
+/** Starts writes during a failover of 900 ms; returns the attempts per write and the share answered. */
+function playFailover(isNaive: boolean): { readonly attempts: number; readonly answered: number; } {
+    const writes = 50;
+    const bed = EntryTestBed.create(1);
+    const owner = bed.group.createDirectory().findOwner("u2")!;
+    bed.group.changePrimary(undefined);
+    bed.clock.startTimer(900, () => {
+        bed.group.changePrimary("u2");
+        bed.views[0]!.learn({ group: "orders", term: bed.group.term, primary: "u2" });
+    });
+    const retryBlindly = function*(req: StatementRequest): Operation<Result<unknown, Failure>> {
+        for (;;) {
+            const term = bed.group.term;
+            const routed = { ...req, upstream: "u2", rank: Rank.Urgent, kind: StatementKind.Write as const, term, timeoutMs: 2000 };
+            const result = yield* owner.execute(routed);
+            if (result.ok) return result;
+        }
+    };
+    const tasks = Array.from({ length: writes }, () => {
+        const req = { ...bed.makeRequest("orders", aWrite), timeoutMs: 2000 };
+        return Task.start<Result<unknown, Failure>>(isNaive ? retryBlindly(req) : bed.vms[0]!.openSession().execute(req));
+    });
+    bed.clock.advance(2500);
+    let answered = 0;
+    for (const task of tasks) task.deliver(result => answered += result.ok ? 1 : 0, () => {});
+    const attempts = [...bed.group.attempts.values()].reduce((sum, count) => sum + count, 0);
+    return { attempts: attempts / writes, answered: answered / writes };
+}
+
+test("retry budget: a failover causes no retry storm, and every write that waits for it is answered", () => {
+    assert.ok(playFailover(true).attempts > 100, "blind retries must multiply the load");
+    const ours = playFailover(false);
+    assert.equal(ours.answered, 1);
+    // One attempt, one after the change of primary, and the 20 retries that the budget allows at once.
+    assert.ok(ours.attempts <= 2 + 20 / 50, `${ours.attempts} attempts per write`);
+});
+
+test("P3: a transaction stays on one owner, and a COMMIT whose answer is lost is resolved by the group", () => {
+    for (const fault of [FakeFault.None, FakeFault.LoseReply, FakeFault.LoseRequest]) {
+        const bed = EntryTestBed.create(1);
+        const session = bed.vms[0]!.openSession();
+        assert.ok(bed.run(session.execute(bed.makeRequest("orders", "BEGIN", "t1"))).ok);
+        assert.ok(bed.run(session.execute(bed.makeRequest("orders", aWrite))).ok);
+        assert.equal(bed.group.countExecutions("t1"), 0);
+        scriptFaults(bed, [fault]);
+        const result = bed.run(session.execute(bed.makeRequest("orders", "COMMIT")));
+        assert.equal(bed.group.countExecutions("t1"), result.ok ? 1 : 0);
+        assert.equal(result.ok, fault !== FakeFault.LoseRequest);
+        if (result.err) assert.equal(result.val.outcome, RunOutcome.DidNotRun);
+        assert.equal(session.inTransaction, false);
+    }
+});
+
+test("P3: after a failure inside a transaction nothing of it is committed, and the caller has to roll back", () => {
+    const bed = EntryTestBed.create(1);
+    const session = bed.vms[0]!.openSession();
+    assert.ok(bed.run(session.execute(bed.makeRequest("orders", "START TRANSACTION", "t1"))).ok);
+    scriptFaults(bed, [FakeFault.LoseReply]);
+    const failed = bed.run(session.execute(bed.makeRequest("orders", aWrite)));
+    assert.ok(failed.err && failed.val.outcome === RunOutcome.DidNotRun);
+    const refused = bed.run(session.execute(bed.makeRequest("orders", aWrite)));
+    assert.ok(refused.err && refused.val.code === Diagnostics.transactionAborted.code);
+    assert.ok(bed.run(session.execute(bed.makeRequest("orders", "COMMIT"))).err);
+    assert.equal(bed.group.countExecutions("t1"), 0);
+    assert.ok(bed.run(session.execute(bed.makeRequest("orders", aWrite))).ok);
+});
