--- a/packages/routing/src/openTransaction.ts
+++ b/packages/routing/src/callerTransaction.ts
@@ -8,11 +8,11 @@
 import { commitsImplicitly } from "./commitsImplicitly";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
+import { EntryWrites } from "./entryWrites";
 import { KnownPrimary } from "./knownPrimary";
 import { OwnerAnswer } from "./ownerAnswer";
 import { PrimaryCaller } from "./primaryCaller";
 import { watchOperation } from "./watchOperation";
-import { WriteExecutor } from "./writeExecutor";
 
 /** Time that an owner keeps a transaction open, in milliseconds. */
 const lifetimeMs = 10_000;
@@ -29,7 +29,7 @@
  * A transaction of a caller, bound to the owner and the term in which it began. Nothing of it can take effect before
  * COMMIT is sent, so every failure up to then means that it did not run.
  */
-export class OpenTransaction {
+export class CallerTransaction {
     private sequence = 0;
     private aborted = false;
 
@@ -42,11 +42,11 @@
     ) {}
 
     /** Opens a transaction whose id is that of the BEGIN request. */
-    public static *begin(context: EntryContext, caller: PrimaryCaller, request: AdmittedRequest): Operation<Result<OpenTransaction, Failure>> {
+    public static *begin(context: EntryContext, caller: PrimaryCaller, request: AdmittedRequest): Operation<Result<CallerTransaction, Failure>> {
         const { req, workClass, group } = request;
-        let last: OpenTransaction | undefined;
-        const { result } = yield* caller.call(request, 0, false, function*(primary, timeoutMs): Operation<Result<OpenTransaction, Failure>> {
-            const transaction = new OpenTransaction(context, caller, req.requestId, primary, group.name);
+        let last: CallerTransaction | undefined;
+        const { result } = yield* caller.call(request, 0, false, function*(primary, timeoutMs): Operation<Result<CallerTransaction, Failure>> {
+            const transaction = new CallerTransaction(context, caller, req.requestId, primary, group.name);
             last = transaction;
             const begun = yield* primary.owner.begin({
                 requestId: req.requestId,
@@ -90,7 +90,7 @@
     }
 
     /** Commits. A lost answer is asked of the group under the id of the transaction. */
-    public *commit(request: AdmittedRequest, writes: WriteExecutor): Operation<Result<OwnerAnswer, Failure>> {
+    public *commit(request: AdmittedRequest, writes: EntryWrites): Operation<Result<OwnerAnswer, Failure>> {
         if (this.aborted) return this.refuseAborted();
         const result = yield* this.caller.watchCall(
             request,
--- a/packages/routing/src/readExecutor.ts
+++ b/packages/routing/src/entryReads.ts
@@ -38,11 +38,11 @@
 }
 
 /** Runs reads on the upstreams that the router chooses. */
-export class ReadExecutor {
+export class EntryReads {
     private constructor(private readonly context: EntryContext, private readonly caller: PrimaryCaller) {}
 
-    public static create(context: EntryContext, caller: PrimaryCaller): ReadExecutor {
-        return new ReadExecutor(context, caller);
+    public static create(context: EntryContext, caller: PrimaryCaller): EntryReads {
+        return new EntryReads(context, caller);
     }
 
     /**
--- a/packages/routing/src/entryService.ts
+++ b/packages/routing/src/entryService.ts
@@ -4,16 +4,16 @@
 import { CallerSession } from "./callerSession";
 import { EntryContext } from "./entryContext";
 import { EntryMetrics } from "./entryMetrics";
+import { EntryReads } from "./entryReads";
 import { EntrySession } from "./entrySession";
+import { EntryWrites } from "./entryWrites";
 import { GroupDirectory } from "./groupDirectory";
 import { OwnerDirectory } from "./ownerDirectory";
 import { PrimaryCaller } from "./primaryCaller";
 import { PrimaryFinder } from "./primaryFinder";
-import { ReadExecutor } from "./readExecutor";
 import { ReadRouter } from "./readRouter";
 import { RetryBudgets } from "./retryBudgets";
 import { SessionTokenCodec } from "./sessionTokenCodec";
-import { WriteExecutor } from "./writeExecutor";
 
 /** What the entry role of a VM needs. */
 interface EntryServiceOptions {
@@ -33,8 +33,8 @@
     private constructor(
         private readonly context: EntryContext,
         private readonly caller: PrimaryCaller,
-        private readonly reads: ReadExecutor,
-        private readonly writes: WriteExecutor,
+        private readonly reads: EntryReads,
+        private readonly writes: EntryWrites,
     ) {}
 
     public static create(options: EntryServiceOptions): EntryService {
@@ -49,7 +49,7 @@
             metrics: options.metrics ?? EntryMetrics.create(),
         };
         const caller = PrimaryCaller.create(context);
-        return new EntryService(context, caller, ReadExecutor.create(context, caller), WriteExecutor.create(context, caller));
+        return new EntryService(context, caller, EntryReads.create(context, caller), EntryWrites.create(context, caller));
     }
 
     public get metrics(): EntryMetrics {
--- a/packages/routing/src/entrySession.ts
+++ b/packages/routing/src/entrySession.ts
@@ -6,19 +6,19 @@
 import { Err, Ok, Result } from "ts-results";
 import { AdmittedRequest } from "./admittedRequest";
 import { CallerSession } from "./callerSession";
+import { CallerTransaction } from "./callerTransaction";
 import { classifyStatement } from "./classifyStatement";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
-import { OpenTransaction } from "./openTransaction";
+import { EntryReads } from "./entryReads";
+import { EntryWrites } from "./entryWrites";
 import { OwnerAnswer } from "./ownerAnswer";
 import { PrimaryCaller } from "./primaryCaller";
-import { ReadExecutor } from "./readExecutor";
 import { SessionFloors } from "./sessionFloors";
 import { SessionOptions } from "./sessionOptions";
 import { StatementAnswer } from "./statementAnswer";
 import { StatementKind } from "./statementKind";
 import { StatementRequest } from "./statementRequest";
-import { WriteExecutor } from "./writeExecutor";
 
 const emptyResult: StatementResult = { columns: [], rows: [], affectedRows: 0, insertId: 0, info: "" };
 
@@ -30,18 +30,18 @@
 export class EntrySession implements CallerSession {
     private readonly floors = SessionFloors.create();
     private name: string | undefined;
-    private transaction: OpenTransaction | undefined;
+    private transaction: CallerTransaction | undefined;
     private encodedToken: string | undefined;
     private encodedRevision = -1;
 
     private constructor(
         private readonly context: EntryContext,
         private readonly caller: PrimaryCaller,
-        private readonly reads: ReadExecutor,
-        private readonly writes: WriteExecutor,
+        private readonly reads: EntryReads,
+        private readonly writes: EntryWrites,
     ) {}
 
-    public static create(context: EntryContext, caller: PrimaryCaller, reads: ReadExecutor, writes: WriteExecutor): EntrySession {
+    public static create(context: EntryContext, caller: PrimaryCaller, reads: EntryReads, writes: EntryWrites): EntrySession {
         return new EntrySession(context, caller, reads, writes);
     }
 
@@ -133,13 +133,13 @@
     }
 
     private *begin(request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
-        const begun = yield* OpenTransaction.begin(this.context, this.caller, request);
+        const begun = yield* CallerTransaction.begin(this.context, this.caller, request);
         if (begun.err) return begun;
         this.transaction = begun.val;
         return Ok({ result: emptyResult, upstream: begun.val.upstream });
     }
 
-    private *continueTransaction(transaction: OpenTransaction, request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
+    private *continueTransaction(transaction: CallerTransaction, request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
         switch (request.kind) {
             case StatementKind.Begin:
                 return refuse(createFailure(Diagnostics.transactionOpen, RunOutcome.DidNotRun));
--- a/packages/routing/src/writeExecutor.ts
+++ b/packages/routing/src/entryWrites.ts
@@ -18,11 +18,11 @@
 const resolvePauseMs = 20;
 
 /** Runs writes on the owner of the group's primary until their outcome is known. */
-export class WriteExecutor {
+export class EntryWrites {
     private constructor(private readonly context: EntryContext, private readonly caller: PrimaryCaller) {}
 
-    public static create(context: EntryContext, caller: PrimaryCaller): WriteExecutor {
-        return new WriteExecutor(context, caller);
+    public static create(context: EntryContext, caller: PrimaryCaller): EntryWrites {
+        return new EntryWrites(context, caller);
     }
 
     /**
