--- /dev/null
+++ b/packages/routing/src/connectionPool.ts
@@ -0,0 +1,177 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { Err, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { PooledConnection } from "./pooledConnection";
+import { UpstreamConnection } from "./upstreamConnection";
+import { UpstreamPeer } from "./upstreamPeer";
+
+/** Connections of an upstream left to the control side: status, acknowledgement and coordination from several VMs. */
+const controlConnections = 8;
+/** Open connections kept beyond the slots, so that a lost connection does not cost a slot the time of opening one. */
+const spareConnections = 2;
+/** Time allowed for opening a connection, in milliseconds. */
+const connectTimeoutMs = 1_000;
+/** Delays between failed attempts to open a connection, in milliseconds. */
+const firstRetryDelayMs = 20;
+const lastRetryDelayMs = 1_000;
+
+/**
+ * The statement connections to one upstream. Opens them one after another and keeps a few spare. A connection whose
+ * statement was interrupted, or whose outcome is unknown, is closed and never used again.
+ */
+export class ConnectionPool {
+    private readonly idle: PooledConnection[] = [];
+    private readonly busy = new Set<PooledConnection>();
+    private readonly changed = Signal.create<void>();
+    private readonly wanted = Signal.create<void>();
+    private generation = 0;
+    private waiting = 0;
+    private isClosed = false;
+    private retryDelayMs = firstRetryDelayMs;
+
+    private constructor(private readonly clock: Clock, private readonly peer: UpstreamPeer, private readonly upstream: UpstreamSettings) {}
+
+    public static create(clock: Clock, peer: UpstreamPeer, upstream: UpstreamSettings): ConnectionPool {
+        return new ConnectionPool(clock, peer, upstream);
+    }
+
+    /** Greatest number of statement connections. */
+    public get limit(): number {
+        return Math.max(this.upstream.slots + 1, this.upstream.maxConnections - controlConnections);
+    }
+
+    public get openCount(): number {
+        return this.idle.length + this.busy.size;
+    }
+
+    public get idleConnections(): readonly PooledConnection[] {
+        return this.idle;
+    }
+
+    /** Opens connections as they are needed, one after another, until the pool is closed. */
+    public *run(): Operation<void> {
+        while (!this.isClosed) {
+            if (this.isShort()) yield* this.openOne();
+            else yield* this.wanted.wait();
+        }
+    }
+
+    /**
+     * Waits until `deadline` on the owner's clock for a connection; undefined if there is none by then. The caller gives it
+     * back with `release` or `discard`, in a `finally` block.
+     */
+    public *acquire(deadline: number): Operation<PooledConnection | undefined> {
+        this.waiting++;
+        try {
+            for (;;) {
+                const pooled = this.takeIdle();
+                if (pooled !== undefined) return pooled;
+                const left = deadline - this.clock.now();
+                if (left <= 0 || this.isClosed) return undefined;
+                this.wanted.notifyAll();
+                yield* race([this.changed.wait(), sleep(this.clock, left)]);
+            }
+        }
+        finally {
+            this.waiting--;
+        }
+    }
+
+    /** Runs one use of a connection, which is kept only if the use ended with a known outcome. */
+    public *use<T>(deadline: number, work: (connection: UpstreamConnection) => Operation<Result<T, Failure>>): Operation<Result<T, Failure>> {
+        const pooled = yield* this.acquire(deadline);
+        if (pooled === undefined) return Err(createFailure(Diagnostics.noConnection, RunOutcome.DidNotRun, this.upstream.id));
+        let isClean = false;
+        try {
+            const result = yield* work(pooled.connection);
+            isClean = result.ok || result.val.outcome !== RunOutcome.Unknown;
+            return result;
+        }
+        finally {
+            if (isClean) this.release(pooled);
+            else this.discard(pooled);
+        }
+    }
+
+    public release(pooled: PooledConnection): void {
+        if (this.isClosed || !pooled.connection.isOpen || !this.busy.delete(pooled)) {
+            this.discard(pooled);
+            return;
+        }
+        pooled.lastUsedAt = this.clock.now();
+        this.idle.push(pooled);
+        this.changed.notifyAll();
+    }
+
+    public discard(pooled: PooledConnection): void {
+        this.busy.delete(pooled);
+        pooled.connection.close();
+        this.wanted.notifyAll();
+    }
+
+    /**
+     * Adds a connection that answered while an older one was silent. Idle connections are closed, because the intermediary
+     * that lost one connection has probably lost the others too; new ones replace them.
+     */
+    public adoptAfterFault(connection: UpstreamConnection): void {
+        for (const pooled of [...this.idle]) this.discardIdle(pooled);
+        this.adopt(connection);
+    }
+
+    public discardIdle(pooled: PooledConnection): void {
+        const index = this.idle.indexOf(pooled);
+        if (index < 0) return;
+        this.idle.splice(index, 1);
+        this.discard(pooled);
+    }
+
+    /** Takes one idle connection out, for a check. */
+    public takeIdle(): PooledConnection | undefined {
+        const pooled = this.idle.pop();
+        if (pooled === undefined) return undefined;
+        this.busy.add(pooled);
+        this.wanted.notifyAll();
+        if (pooled.connection.isOpen) return pooled;
+        this.discard(pooled);
+        return this.takeIdle();
+    }
+
+    /** Closes idle connections now and busy ones when they are given back. */
+    public close(): void {
+        this.isClosed = true;
+        for (const pooled of this.idle.splice(0)) pooled.connection.close();
+        this.wanted.notifyAll();
+        this.changed.notifyAll();
+    }
+
+    private adopt(connection: UpstreamConnection): void {
+        const pooled = { connection, generation: ++this.generation, lastUsedAt: this.clock.now() };
+        this.busy.add(pooled);
+        if (this.openCount > this.limit) this.discard(pooled);
+        else this.release(pooled);
+    }
+
+    private isShort(): boolean {
+        if (this.openCount >= this.limit) return false;
+        return this.waiting > this.idle.length || this.openCount < this.upstream.slots || this.idle.length < spareConnections;
+    }
+
+    private *openOne(): Operation<void> {
+        const opened = yield* this.peer.connect(this.upstream, connectTimeoutMs);
+        if (opened.ok) {
+            this.retryDelayMs = firstRetryDelayMs;
+            this.adopt(opened.val);
+            return;
+        }
+        yield* sleep(this.clock, this.retryDelayMs);
+        this.retryDelayMs = Math.min(this.retryDelayMs * 2, lastRetryDelayMs);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/decayingMean.ts
@@ -0,0 +1,23 @@
+/** Weight of a new observation. */
+const observationWeight = 0.05;
+
+/** A running mean that follows recent observations. Zero before the first. */
+export class DecayingMean {
+    private mean = 0;
+    private count = 0;
+
+    private constructor() {}
+
+    public static create(): DecayingMean {
+        return new DecayingMean();
+    }
+
+    public get value(): number {
+        return this.mean;
+    }
+
+    public record(value: number): void {
+        this.count++;
+        this.mean += Math.max(observationWeight, 1 / this.count) * (value - this.mean);
+    }
+}
--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -31,4 +31,9 @@
     linkFailed: message(1222, "link to VM {0} failed: {1}", "Retried by the entry VM if the outcome allows."),
     noConfiguration: message(1223, "this VM has no configuration yet", "Wait until it has one, or connect to another VM."),
     statementRejected: message(1224, "upstream {0} rejected the statement: {1}", "Correct the statement."),
+    positionNotConfirmed: message(1260, "the term of upstream {0} could not be confirmed", "Retried; check that a majority of the group is reachable."),
+    draining: message(1261, "the owner of upstream {0} is handing it over", "Retried by the entry VM with the next owner."),
+    transactionLimit: message(1262, "upstream {0} has {1} open transactions, which is its limit", "Retry later, or end transactions sooner."),
+    sequenceMismatch: message(1263, "transaction {0} expected statement {1} and got {2}", "Start the transaction again."),
+    noConnection: message(1264, "no connection to upstream {0} could be opened in time", "Check that the upstream is reachable and its connection limit."),
 } as const;
--- /dev/null
+++ b/packages/routing/src/fakeConnection.ts
@@ -0,0 +1,159 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { FakeGroup } from "./fakeGroup";
+import { FakeUpstream } from "./fakeUpstream";
+import { UpstreamAnswer } from "./upstreamAnswer";
+import { UpstreamConnection } from "./upstreamConnection";
+
+type Answer = Result<UpstreamAnswer, Failure>;
+
+/**
+ * A connection to a fake upstream. As in the real protocol, an answer belongs to whoever reads next: a statement sent
+ * while an earlier one is still executing gets the earlier one's answer.
+ */
+export class FakeConnection implements UpstreamConnection {
+    /** Whether an intermediary has lost the connection: nothing arrives, in either direction. */
+    public isSilent = false;
+    private open = true;
+    private transaction: string[] | undefined;
+    /** Answers that were never read, oldest first. */
+    private readonly unread: Answer[] = [];
+    private outstanding = 0;
+
+    private constructor(private readonly group: FakeGroup, public readonly upstream: FakeUpstream) {
+        upstream.openConnections++;
+    }
+
+    public static create(group: FakeGroup, upstream: FakeUpstream): FakeConnection {
+        return new FakeConnection(group, upstream);
+    }
+
+    public get isOpen(): boolean {
+        return this.open;
+    }
+
+    public read(sql: string, floor: LogPosition | undefined): Operation<Answer> {
+        return this.send(() => this.serveRead(sql, floor));
+    }
+
+    public write(sql: string, term: number, requestId: string): Operation<Answer> {
+        return this.send(() => this.serveWrite([sql], term, requestId, this.group.measure(sql)));
+    }
+
+    public *begin(term: number): Operation<Result<void, Failure>> {
+        const answer = yield* this.send(() => this.serveBegin(term));
+        return answer.ok ? Ok(undefined) : answer;
+    }
+
+    public executeInTransaction(sql: string): Operation<Answer> {
+        return this.send(() => this.serveInTransaction(sql));
+    }
+
+    public commit(term: number, requestId: string): Operation<Answer> {
+        return this.send(() => this.serveCommit(term, requestId));
+    }
+
+    public *rollback(): Operation<Result<void, Failure>> {
+        const answer = yield* this.send(() => this.serveRollback());
+        return answer.ok ? Ok(undefined) : answer;
+    }
+
+    public *ping(): Operation<Result<void, Failure>> {
+        const answer = yield* this.send(() => this.serveRead("ping", undefined, 0));
+        return answer.ok ? Ok(undefined) : answer;
+    }
+
+    public close(): void {
+        if (!this.open) return;
+        this.open = false;
+        this.transaction = undefined;
+        this.upstream.openConnections--;
+    }
+
+    private *send(serve: () => Operation<Answer>): Operation<Answer> {
+        if (!this.open) return this.fail(Diagnostics.connectionLost.code, "closed");
+        this.outstanding++;
+        const isCut = (): boolean => this.isSilent;
+        const answer = yield* this.group.exchange(this.upstream, isCut, () => this.serveInOrder(serve));
+        if (answer !== undefined) return answer;
+        this.close();
+        return this.fail(Diagnostics.connectionLost.code, "reply lost");
+    }
+
+    private *serveInOrder(serve: () => Operation<Answer>): Operation<Answer | undefined> {
+        const answer = yield* serve();
+        this.outstanding--;
+        if (this.upstream.repliesToLose > 0) {
+            this.upstream.repliesToLose--;
+            return undefined;
+        }
+        // With another statement under way, the reader on this connection gets the answers in the order of execution.
+        if (this.outstanding > 0 || this.unread.length > 0) {
+            this.unread.push(answer);
+            return this.unread.shift();
+        }
+        return answer;
+    }
+
+    private *serveRead(sql: string, floor: LogPosition | undefined, durationMs = this.group.measure(sql)): Operation<Answer> {
+        if (!this.upstream.hasApplied(floor)) return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.DidNotRun, this.upstream.settings.id, ""));
+        yield* this.upstream.occupySlot(durationMs);
+        return this.answer(sql, this.upstream.applied);
+    }
+
+    private *serveWrite(statements: readonly string[], term: number, requestId: string, durationMs: number): Operation<Answer> {
+        if (!this.isPrimaryIn(term)) return this.rejectTerm(term);
+        yield* this.upstream.occupySlot(durationMs);
+        if (!this.isPrimaryIn(term)) return this.rejectTerm(term);
+        const record = this.upstream.findRecord(requestId);
+        if (record?.cancelled) return Err(createFailure(Diagnostics.requestCancelled, RunOutcome.DidNotRun, requestId));
+        if (record !== undefined) return this.answer(statements.join(";"), record.at, true);
+        const at = this.upstream.append({ requestId, sql: statements.join(";"), isCancellation: false });
+        this.group.replicate(this.upstream);
+        return this.answer(statements.join(";"), at);
+    }
+
+    private *serveBegin(term: number): Operation<Answer> {
+        if (!this.isPrimaryIn(term)) return this.rejectTerm(term);
+        this.transaction = [];
+        return this.answer("begin", this.upstream.applied);
+    }
+
+    private *serveInTransaction(sql: string): Operation<Answer> {
+        yield* this.upstream.occupySlot(this.group.measure(sql));
+        this.transaction?.push(sql);
+        return this.answer(sql, this.upstream.applied);
+    }
+
+    private *serveCommit(term: number, requestId: string): Operation<Answer> {
+        const statements = this.transaction ?? [];
+        this.transaction = undefined;
+        return yield* this.serveWrite(statements, term, requestId, 1);
+    }
+
+    private *serveRollback(): Operation<Answer> {
+        this.transaction = undefined;
+        return this.answer("rollback", this.upstream.applied);
+    }
+
+    private isPrimaryIn(term: number): boolean {
+        return this.upstream.isPrimary && this.upstream.acceptedTerm === term;
+    }
+
+    private rejectTerm(term: number): Answer {
+        return Err(createFailure(Diagnostics.termReplaced, RunOutcome.DidNotRun, this.upstream.settings.id, term));
+    }
+
+    private answer(sql: string, at: LogPosition, recordedBefore = false): Answer {
+        return Ok({ result: { columns: [], rows: [[sql]], affectedRows: 1, insertId: 0, info: "" }, at, recordedBefore });
+    }
+
+    private fail(code: number, text: string): Answer {
+        return Err({ code, message: text, outcome: RunOutcome.Unknown });
+    }
+}
--- /dev/null
+++ b/packages/routing/src/fakeGroup.ts
@@ -0,0 +1,151 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Failure } from "@vanillarouter/base/failure";
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { FakeConnection } from "./fakeConnection";
+import { FakeGroupOptions } from "./fakeGroupOptions";
+import { FakeGroupPeer } from "./fakeGroupPeer";
+import { FakeLogEntry } from "./fakeLogEntry";
+import { FakeUpstream } from "./fakeUpstream";
+import { GroupDirectory } from "./groupDirectory";
+import { GroupPeer } from "./groupPeer";
+import { UpstreamConnection } from "./upstreamConnection";
+import { UpstreamPeer } from "./upstreamPeer";
+
+/**
+ * A database group in memory for tests and measurements: terms, logs, replication, slots and connections, on a given
+ * clock. It is both the peer and the directory of the group; the first upstream is primary in term 1.
+ */
+export class FakeGroup implements UpstreamPeer, GroupDirectory {
+    public readonly changed = Signal.create<GroupView>();
+    public readonly clock: Clock;
+    public readonly group: DatabaseGroup;
+    public readonly networkMs: number;
+    public readonly connections: FakeConnection[] = [];
+    private readonly upstreams: ReadonlyMap<string, FakeUpstream>;
+    private view: GroupView;
+
+    private constructor(private readonly options: FakeGroupOptions) {
+        this.clock = options.clock;
+        this.group = options.group;
+        this.networkMs = options.networkMs ?? 0.5;
+        this.upstreams = new Map(options.group.upstreams.map(settings => [settings.id, FakeUpstream.create(settings, options.clock)]));
+        const first = options.group.upstreams[0]!.id;
+        this.view = { group: options.group.name, term: 1, primary: first };
+        this.setPrimary(first);
+    }
+
+    public static create(options: FakeGroupOptions): FakeGroup {
+        return new FakeGroup(options);
+    }
+
+    public find(group: string): GroupView | undefined {
+        return group === this.group.name ? this.view : undefined;
+    }
+
+    public learn(view: GroupView): boolean {
+        if (view.term <= this.view.term) return false;
+        this.view = view;
+        this.changed.notifyAll(view);
+        return true;
+    }
+
+    public get(upstream: string): FakeUpstream {
+        return this.upstreams.get(upstream)!;
+    }
+
+    /** Log of the current primary: what the group has finally recorded. */
+    public get finalLog(): readonly FakeLogEntry[] {
+        return this.get(this.view.primary!).log;
+    }
+
+    /** Makes the best of the reachable upstreams other than `except` primary of the next term, as a coordinator does. */
+    public failOver(except?: string): string | undefined {
+        const term = Math.max(...[...this.upstreams.values()].map(upstream => upstream.acceptedTerm)) + 1;
+        const voters = [...this.upstreams.values()].filter(upstream => upstream.isReachable && upstream.settings.id !== except);
+        if (voters.length * 2 <= this.upstreams.size) return undefined;
+        for (const voter of voters) voter.acceptedTerm = term;
+        const rank = (upstream: FakeUpstream): number => upstream.received.term * 1e9 + upstream.received.position;
+        const best = voters.reduce((first, second) => rank(second) > rank(first) ? second : first);
+        this.setPrimary(best.settings.id);
+        this.learn({ group: this.group.name, term, primary: best.settings.id });
+        return best.settings.id;
+    }
+
+    public measure(sql: string): number {
+        return this.options.measureStatement?.(sql) ?? 2;
+    }
+
+    /** Sends new entries of a primary to the replicas that follow it. */
+    public replicate(primary: FakeUpstream): void {
+        this.clock.startTimer(this.networkMs, () => {
+            if (!primary.isPrimary) return;
+            for (const upstream of this.upstreams.values()) if (upstream !== primary) upstream.replicateFrom(primary);
+        });
+    }
+
+    public *connect(upstream: UpstreamSettings, timeoutMs: number): Operation<Result<UpstreamConnection, Failure>> {
+        const target = this.get(upstream.id);
+        yield* sleep(this.clock, Math.min(this.options.connectMs ?? 10, timeoutMs));
+        if (!target.isReachable || target.openConnections >= upstream.maxConnections) {
+            return Err(createFailure(Diagnostics.connectionLost, RunOutcome.DidNotRun, upstream.id, "refused"));
+        }
+        const connection = FakeConnection.create(this, target);
+        this.connections.push(connection);
+        return Ok(connection);
+    }
+
+    public openGroupPeer(upstream: UpstreamSettings): GroupPeer {
+        return FakeGroupPeer.create(this, this.get(upstream.id));
+    }
+
+    /**
+     * Carries a question to an upstream and its answer back. The upstream goes on when the asking task is cancelled.
+     * Nothing comes back while `isCut` holds or the upstream is out of reach.
+     */
+    public exchange<T>(upstream: FakeUpstream, isCut: () => boolean, serve: () => Operation<T>): Operation<T> {
+        return perform<T>({
+            start: resume => {
+                this.clock.startTimer(this.networkMs, () => {
+                    if (isCut() || !upstream.isReachable) return;
+                    const task = Task.start(serve());
+                    task.onSettled(() =>
+                        this.clock.startTimer(this.networkMs, () => {
+                            if (!isCut() && upstream.isReachable) task.deliver(resume, () => {});
+                        })
+                    );
+                });
+                return () => {};
+            },
+        });
+    }
+
+    /** As `exchange`, with an end: a failure with outcome Unknown after `timeoutMs`. */
+    public *ask<T>(upstream: FakeUpstream, timeoutMs: number, serve: () => Operation<Result<T, Failure>>): Operation<Result<T, Failure>> {
+        const answer = yield* withTimeout(this.clock, timeoutMs, this.exchange(upstream, () => false, serve));
+        return answer ?? Err(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, timeoutMs));
+    }
+
+    private setPrimary(id: string): void {
+        for (const upstream of this.upstreams.values()) {
+            const isReplaced = upstream.acceptedTerm === this.get(id).acceptedTerm;
+            if (!isReplaced) continue;
+            upstream.isPrimary = upstream.settings.id === id;
+            upstream.primary = id;
+        }
+        const primary = this.get(id);
+        primary.append({ sql: "", isCancellation: false });
+        this.replicate(primary);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/fakeGroupOptions.ts
@@ -0,0 +1,14 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+
+/** How a fake group behaves. */
+export interface FakeGroupOptions {
+    readonly clock: Clock;
+    readonly group: DatabaseGroup;
+    /** Duration of a statement on an idle upstream, in milliseconds. */
+    readonly measureStatement?: (sql: string) => number;
+    /** One-way delay between an owner and an upstream, and between upstreams, in milliseconds. */
+    readonly networkMs?: number;
+    /** Time for opening a connection, in milliseconds. */
+    readonly connectMs?: number;
+}
--- /dev/null
+++ b/packages/routing/src/fakeOwnerBed.ts
@@ -0,0 +1,60 @@
+import { Configuration } from "@vanillarouter/base/configuration";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { Signal } from "@vanillarouter/base/signal";
+import { Task } from "@vanillarouter/base/task";
+import { WorkClass } from "@vanillarouter/base/workClass";
+import { FakeGroup } from "./fakeGroup";
+import { FakeGroupOptions } from "./fakeGroupOptions";
+import { OwnerDirectory } from "./ownerDirectory";
+import { OwnerLink } from "./ownerLink";
+import { UpstreamOwner } from "./upstreamOwner";
+
+/** A fake group of three upstreams with an owner for each, on a controlled clock. */
+export class FakeOwnerBed implements OwnerDirectory {
+    public readonly clock = ManualClock.create();
+    public readonly random = SeededRandom.create(1);
+    public readonly group: FakeGroup;
+    /** Upstreams without an owner, as after the loss of a VM. */
+    public readonly unowned = new Set<string>();
+    private readonly owners = new Map<string, UpstreamOwner>();
+
+    private constructor(slots: number, classes: readonly WorkClass[], options: Partial<FakeGroupOptions>) {
+        const settings = (id: string): DatabaseGroup["upstreams"][number] => ({ id, zone: "z1", host: "127.0.0.1", port: 1, slots, maxConnections: 30 });
+        const group: DatabaseGroup = { name: "stock", upstreams: ["a", "b", "c"].map(settings) };
+        this.group = FakeGroup.create({ clock: this.clock, group, ...options });
+        const current: Configuration = {
+            version: 1,
+            classes: new Map(classes.map(one => [one.name, one])),
+            accounts: new Map(),
+            groups: new Map([["stock", group]]),
+        };
+        const configuration: ConfigurationSource = { current, changed: Signal.create<Configuration>() };
+        for (const upstream of group.upstreams) {
+            const parts = { clock: this.clock, random: this.random, peer: this.group, groups: this.group, owners: this, configuration };
+            this.owners.set(upstream.id, UpstreamOwner.create({ ...parts, group, upstream }));
+        }
+    }
+
+    /** Starts the owners and lets them open their connections. */
+    public static create(slots = 2, classes: readonly WorkClass[] = [], options: Partial<FakeGroupOptions> = {}): FakeOwnerBed {
+        const bed = new FakeOwnerBed(slots, classes, options);
+        for (const owner of bed.owners.values()) Task.start(owner.run());
+        bed.clock.advance(200);
+        return bed;
+    }
+
+    public get(upstream: string): UpstreamOwner {
+        return this.owners.get(upstream)!;
+    }
+
+    public findOwner(upstream: string): OwnerLink | undefined {
+        return this.unowned.has(upstream) ? undefined : this.owners.get(upstream);
+    }
+
+    public isLeaving(): boolean {
+        return false;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/ordinaryShares.ts
@@ -0,0 +1,181 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { DecayingRate } from "./decayingRate";
+import { divideFairly } from "./divideFairly";
+import { SharedRates } from "./sharedRates";
+
+/** Time constant of the demand that the overload decision looks at, in milliseconds. */
+const shortTimeConstantMs = 1_000;
+/** Time constant of the demand that ordinary shares follow, in milliseconds. */
+const longTimeConstantMs = 10_000;
+/** Time for which a class without a measured share is observed before its share is bounded, in milliseconds. */
+const learningMs = 10_000;
+/** Interval between updates of shares, in milliseconds. */
+const updateIntervalMs = 1_000;
+/** Growth of a share per millisecond while every class meets its target: doubles in 5 minutes. */
+const ordinaryGrowthPerMs = Math.LN2 / 300_000;
+/** Growth of a share per millisecond during an overload: doubles in 6 hours. */
+const overloadGrowthPerMs = Math.LN2 / 21_600_000;
+/** Decline of a share per millisecond: halves in a day, so that shares outlast the night. */
+const declinePerMs = Math.LN2 / 86_400_000;
+/** Part of the slot time that shares may claim together; the rest absorbs statements of unusual length. */
+const claimableFraction = 0.95;
+/** Smallest share of a class that is in use, as part of the slot time. */
+const smallestFraction = 0.01;
+/** Slot time that a class may save up, as time at its rate, in milliseconds. */
+const burstMs = 500;
+
+interface ClassShare {
+    readonly recent: DecayingRate;
+    readonly short: DecayingRate;
+    readonly startedAt: number;
+    isLearned: boolean;
+    /** Slots in ordinary use: milliseconds of slot time per millisecond. */
+    share: number;
+    /** Slot time that the class may use and still be within its share, in milliseconds. */
+    credit: number;
+    creditAt: number;
+}
+
+/**
+ * Measures the ordinary slot time of each class on one upstream, and tells which class is within it.
+ *
+ * A share grows only into slot time that no other share claims, so growth never reduces what another class is entitled
+ * to. Unclaimed slot time is divided in proportion to the shares.
+ */
+export class OrdinaryShares {
+    private readonly classes = new Map<string, ClassShare>();
+    private updatedAt: number;
+
+    private constructor(private readonly clock: Clock, private readonly slots: number) {
+        this.updatedAt = clock.now();
+    }
+
+    /** `initial` is what a previous owner measured. */
+    public static create(clock: Clock, slots: number, initial?: SharedRates): OrdinaryShares {
+        const shares = new OrdinaryShares(clock, slots);
+        if (initial !== undefined) shares.adopt(initial);
+        return shares;
+    }
+
+    /** Takes over shares measured by a previous owner for classes that have no measured share here. */
+    public adopt(rates: SharedRates): void {
+        for (const [className, slotTime] of Object.entries(rates.slotTimeByClass)) {
+            const entry = this.obtain(className);
+            if (entry.isLearned) continue;
+            entry.isLearned = true;
+            entry.share = Math.min(slotTime / 1000, this.claimable);
+        }
+    }
+
+    /** Notes a request for `costMs` milliseconds of slot time, whether or not it will be served. */
+    public noteDemand(className: string, costMs: number): void {
+        const now = this.clock.now();
+        const entry = this.obtain(className);
+        entry.recent.add(costMs, now);
+        entry.short.add(costMs, now);
+    }
+
+    /** Current demand of a class in slots. */
+    public readDemand(className: string): number {
+        return this.classes.get(className)?.short.read(this.clock.now()) ?? 0;
+    }
+
+    /** Slots that a class is entitled to during an overload. */
+    public readEntitlement(className: string): number {
+        const entry = this.classes.get(className);
+        return entry === undefined ? 0 : this.entitle(entry);
+    }
+
+    public isWithinShare(className: string): boolean {
+        const entry = this.obtain(className);
+        this.accrue(entry);
+        return entry.credit > 0;
+    }
+
+    /** Charges a class for slot time in milliseconds; a negative amount gives back what was charged too much. */
+    public charge(className: string, costMs: number): void {
+        const entry = this.obtain(className);
+        this.accrue(entry);
+        entry.credit = Math.max(entry.credit - costMs, -this.measureBurst(entry));
+    }
+
+    /** Moves shares towards demand. Called often; does its work once a second. */
+    public update(isOverloaded: boolean): void {
+        const now = this.clock.now();
+        const elapsed = now - this.updatedAt;
+        if (elapsed < updateIntervalMs) return;
+        this.updatedAt = now;
+        this.updateLearning(now);
+        for (const entry of this.classes.values()) {
+            if (entry.isLearned) this.moveShare(entry, now, elapsed, isOverloaded);
+        }
+    }
+
+    /** Measured shares, in milliseconds of slot time per second. */
+    public exportRates(): Readonly<Record<string, number>> {
+        const learned = [...this.classes].filter(([, entry]) => entry.isLearned);
+        return Object.fromEntries(learned.map(([className, entry]) => [className, entry.share * 1000]));
+    }
+
+    private get claimable(): number {
+        return this.slots * claimableFraction;
+    }
+
+    private obtain(className: string): ClassShare {
+        let entry = this.classes.get(className);
+        if (entry !== undefined) return entry;
+        const now = this.clock.now();
+        const recent = DecayingRate.create(longTimeConstantMs, now);
+        const short = DecayingRate.create(shortTimeConstantMs, now);
+        entry = { recent, short, startedAt: now, isLearned: false, share: 0, credit: 0, creditAt: now };
+        this.classes.set(className, entry);
+        entry.credit = this.measureBurst(entry);
+        return entry;
+    }
+
+    /** Classes that are still observed share the unclaimed slot time so that a small demand is met before a large one. */
+    private updateLearning(now: number): void {
+        const learning = [...this.classes.values()].filter(entry => !entry.isLearned);
+        if (learning.length === 0) return;
+        const parts = divideFairly(learning.map(entry => entry.recent.readCorrected(now)), this.measureUnclaimed());
+        learning.forEach((entry, index) => {
+            entry.share = parts[index]!;
+            entry.isLearned = now - entry.startedAt >= learningMs;
+        });
+    }
+
+    private moveShare(entry: ClassShare, now: number, elapsed: number, isOverloaded: boolean): void {
+        const demand = entry.recent.read(now);
+        if (demand < entry.share) {
+            entry.share = Math.max(demand, entry.share * Math.exp(-declinePerMs * elapsed));
+            return;
+        }
+        const growth = Math.exp((isOverloaded ? overloadGrowthPerMs : ordinaryGrowthPerMs) * elapsed);
+        const grown = Math.max(entry.share, this.slots * smallestFraction) * growth;
+        entry.share = Math.max(entry.share, Math.min(demand, grown, entry.share + this.measureUnclaimed()));
+    }
+
+    private measureUnclaimed(): number {
+        let claimed = 0;
+        for (const entry of this.classes.values()) claimed += entry.isLearned ? entry.share : 0;
+        return Math.max(0, this.claimable - claimed);
+    }
+
+    private entitle(entry: ClassShare): number {
+        const smallest = this.slots * smallestFraction;
+        let total = 0;
+        for (const other of this.classes.values()) total += Math.max(other.share, smallest);
+        return Math.max(entry.share, smallest) * Math.max(1, this.claimable / total);
+    }
+
+    private measureBurst(entry: ClassShare): number {
+        return this.entitle(entry) * burstMs;
+    }
+
+    private accrue(entry: ClassShare): void {
+        const now = this.clock.now();
+        const credit = entry.credit + this.entitle(entry) * (now - entry.creditAt);
+        entry.creditAt = now;
+        entry.credit = Math.min(credit, this.measureBurst(entry));
+    }
+}
--- /dev/null
+++ b/packages/routing/src/ownerHost.ts
@@ -0,0 +1,150 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { Err, Result } from "ts-results";
+import { ConfirmedPosition } from "./confirmedPosition";
+import { Diagnostics } from "./diagnostics";
+import { OutcomeRequest } from "./outcomeRequest";
+import { OwnerAnswer } from "./ownerAnswer";
+import { OwnerHostSettings } from "./ownerHostSettings";
+import { OwnerLink } from "./ownerLink";
+import { OwnerRequest } from "./ownerRequest";
+import { SharedRates } from "./sharedRates";
+import { TransactionEnd } from "./transactionEnd";
+import { TransactionRequest } from "./transactionRequest";
+import { TransactionStatement } from "./transactionStatement";
+import { UpstreamOwner } from "./upstreamOwner";
+
+/** The upstreams that one VM owns. Starts and drains owners as roles move, and refuses work for other upstreams. */
+export class OwnerHost implements OwnerLink {
+    private readonly owners = new Map<string, UpstreamOwner>();
+    /** Owners that finish their work in flight after the role has moved away. */
+    private readonly leaving = new Set<UpstreamOwner>();
+    private readonly rates = new Map<string, SharedRates>();
+    private readonly tasks: TaskGroup;
+
+    private constructor(private readonly settings: OwnerHostSettings) {
+        this.tasks = TaskGroup.create(err => settings.logger?.error({ err }, "owner failed"));
+    }
+
+    public static create(settings: OwnerHostSettings): OwnerHost {
+        return new OwnerHost(settings);
+    }
+
+    /** Ids of the upstreams owned now. */
+    public get owned(): readonly string[] {
+        return [...this.owners.keys()];
+    }
+
+    /** Sets which upstreams this VM owns, by id. Returns at once; owners that lost their role drain in the background. */
+    public setOwned(upstreams: readonly string[]): void {
+        const wanted = new Set(upstreams);
+        for (const [id, owner] of this.owners) {
+            if (!wanted.has(id)) this.drainOwner(id, owner);
+        }
+        for (const id of wanted) {
+            if (!this.owners.has(id)) this.startOwner(id);
+        }
+    }
+
+    /** Takes over ordinary shares that other VMs measured, for owners here and for those that start later. */
+    public learnRates(rates: readonly SharedRates[]): void {
+        for (const entry of rates) {
+            this.rates.set(entry.upstream, entry);
+            this.owners.get(entry.upstream)?.adoptRates(entry);
+        }
+    }
+
+    /** Ordinary shares as measured by the owners here. */
+    public exportRates(): readonly SharedRates[] {
+        return [...this.owners.values()].map(owner => owner.exportRates());
+    }
+
+    /** Rolls back the open transactions of an entry VM that is gone. */
+    public rollBackOf(entryVm: string): void {
+        for (const owner of [...this.owners.values(), ...this.leaving]) owner.rollBackOf(entryVm);
+    }
+
+    /** Gives up all roles and waits until the work in flight is finished. */
+    public *drain(): Operation<void> {
+        this.setOwned([]);
+        for (const owner of [...this.leaving]) yield* owner.drain();
+    }
+
+    /** Ends all owners at once. Work in flight is interrupted. */
+    public *close(): Operation<void> {
+        yield* this.tasks.cancelAll();
+        this.owners.clear();
+        this.leaving.clear();
+    }
+
+    public *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        return yield* this.owners.get(req.upstream)?.execute(req) ?? this.refuse<OwnerAnswer>(req.upstream);
+    }
+
+    public *begin(req: TransactionRequest): Operation<Result<void, Failure>> {
+        return yield* this.owners.get(req.upstream)?.begin(req) ?? this.refuse<void>(req.upstream);
+    }
+
+    public *executeInTransaction(req: TransactionStatement): Operation<Result<StatementResult, Failure>> {
+        return yield* this.findTransactionOwner(req.upstream, req.transactionId)?.executeInTransaction(req) ?? this.refuse<StatementResult>(req.upstream);
+    }
+
+    public *endTransaction(req: TransactionEnd): Operation<Result<OwnerAnswer, Failure>> {
+        const owner = this.findTransactionOwner(req.upstream, req.transactionId);
+        // A commit may have run at an owner that has since drained, so a refusal here says nothing about it.
+        return yield* owner?.endTransaction(req) ?? this.refuse<OwnerAnswer>(req.upstream, req.commit ? RunOutcome.Unknown : RunOutcome.DidNotRun);
+    }
+
+    public *resolveOutcome(req: OutcomeRequest): Operation<Result<OwnerAnswer, Failure>> {
+        return yield* this.owners.get(req.upstream)?.resolveOutcome(req) ?? this.refuse<OwnerAnswer>(req.upstream, RunOutcome.Unknown);
+    }
+
+    public *confirmPosition(group: string, upstream: string, timeoutMs: number): Operation<Result<ConfirmedPosition, Failure>> {
+        return yield* this.owners.get(upstream)?.confirmPosition(group, upstream, timeoutMs) ?? this.refuse<ConfirmedPosition>(upstream);
+    }
+
+    private *refuse<T>(upstream: string, outcome = RunOutcome.DidNotRun): Operation<Result<T, Failure>> {
+        return Err(createFailure(Diagnostics.ownerChanged, outcome, upstream));
+    }
+
+    /** A transaction stays with the owner that began it, also while that owner drains. */
+    private findTransactionOwner(upstream: string, transactionId: string): UpstreamOwner | undefined {
+        const holders = [...this.leaving].filter(owner => owner.upstream === upstream && owner.hasTransaction(transactionId));
+        return holders[0] ?? this.owners.get(upstream);
+    }
+
+    private startOwner(id: string): void {
+        const group = this.findGroup(id);
+        const upstream = group?.upstreams.find(other => other.id === id);
+        if (group === undefined || upstream === undefined) return;
+        const owner = UpstreamOwner.create({ ...this.settings, group, upstream, sharedRates: this.rates.get(id) });
+        this.owners.set(id, owner);
+        this.tasks.start(owner.run());
+        this.settings.logger?.info({ upstream: id, group: group.name }, "owner started");
+    }
+
+    private drainOwner(id: string, owner: UpstreamOwner): void {
+        this.owners.delete(id);
+        this.rates.set(id, owner.exportRates());
+        this.leaving.add(owner);
+        this.tasks.start(this.finishOwner(id, owner));
+    }
+
+    private *finishOwner(id: string, owner: UpstreamOwner): Operation<void> {
+        yield* owner.drain();
+        this.leaving.delete(owner);
+        this.settings.logger?.info({ upstream: id }, "owner drained");
+    }
+
+    private findGroup(upstream: string): DatabaseGroup | undefined {
+        for (const group of this.settings.configuration.current?.groups.values() ?? []) {
+            if (group.upstreams.some(other => other.id === upstream)) return group;
+        }
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/progressTimeout.ts
@@ -0,0 +1,65 @@
+import { build, Histogram } from "hdr-histogram-js";
+
+/** Longest statement that the histograms hold, in microseconds. */
+const highestLatencyUs = 60_000_000;
+/** Timeout while too little has been observed, in milliseconds. */
+const initialTimeoutMs = 1_000;
+/** Observations below which the initial timeout holds. */
+const minObservations = 50;
+/** Bounds of the timeout, in milliseconds. */
+const shortestTimeoutMs = 25;
+const longestTimeoutMs = 10_000;
+/** Multiple of the 99.9th percentile. A statement that takes longer is suspect, though it may be just unusually long. */
+const percentileFactor = 3;
+/** Observations after which older ones count half, so that the timeout follows the upstream. */
+const halvingCount = 20_000;
+
+interface ClassHistogram {
+    current: Histogram;
+    previous: Histogram | undefined;
+}
+
+/** Derives from observed latencies how long a statement of a class may show no progress. */
+export class ProgressTimeout {
+    private readonly classes = new Map<string, ClassHistogram>();
+
+    private constructor() {}
+
+    public static create(): ProgressTimeout {
+        return new ProgressTimeout();
+    }
+
+    public record(className: string, latencyMs: number): void {
+        const entry = this.obtain(className);
+        entry.current.recordValue(Math.min(Math.max(1, Math.round(latencyMs * 1000)), highestLatencyUs));
+        if (entry.current.totalCount < halvingCount) return;
+        entry.previous = entry.current;
+        entry.current = createHistogram();
+    }
+
+    /** Timeout of a statement of a class, in milliseconds. */
+    public derive(className: string): number {
+        const entry = this.classes.get(className);
+        const count = (entry?.current.totalCount ?? 0) + (entry?.previous?.totalCount ?? 0);
+        if (entry === undefined || count < minObservations) return initialTimeoutMs;
+        const percentile = Math.max(readPercentile(entry.current), readPercentile(entry.previous));
+        return Math.min(Math.max(percentile * percentileFactor, shortestTimeoutMs), longestTimeoutMs);
+    }
+
+    private obtain(className: string): ClassHistogram {
+        let entry = this.classes.get(className);
+        if (entry === undefined) {
+            entry = { current: createHistogram(), previous: undefined };
+            this.classes.set(className, entry);
+        }
+        return entry;
+    }
+}
+
+function createHistogram(): Histogram {
+    return build({ bitBucketSize: 32, lowestDiscernibleValue: 1, highestTrackableValue: highestLatencyUs, numberOfSignificantValueDigits: 2 });
+}
+
+function readPercentile(histogram: Histogram | undefined): number {
+    return histogram === undefined || histogram.totalCount === 0 ? 0 : histogram.getValueAtPercentile(99.9) / 1000;
+}
--- /dev/null
+++ b/packages/routing/src/readExecutor.ts
@@ -0,0 +1,97 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { FreshnessProof } from "./freshnessProof";
+import { FreshnessProver } from "./freshnessProver";
+import { OwnerContext } from "./ownerContext";
+import { OwnerRequest } from "./ownerRequest";
+import { SlotRequest } from "./slotRequest";
+import { UpstreamAnswer } from "./upstreamAnswer";
+
+/** Part of a read's time that it may wait for this upstream; the rest is left for the primary. */
+const waitFraction = 1 / 3;
+/** Attempts of a repeatable read whose connection was lost or silent. */
+const maxAttempts = 3;
+/** Part of the greatest age that a proof may have used up when the read starts; the rest covers queue and execution. */
+const startAgeFraction = 0.75;
+
+/** Executes single reads that see the session's floor and are proven as fresh as the class asks. */
+export class ReadExecutor {
+    private constructor(private readonly context: OwnerContext, private readonly prover: FreshnessProver) {}
+
+    public static create(context: OwnerContext, prover: FreshnessProver): ReadExecutor {
+        return new ReadExecutor(context, prover);
+    }
+
+    public *execute(req: OwnerRequest, slot: SlotRequest): Operation<Result<UpstreamAnswer, Failure>> {
+        const waitUntil = slot.arrivedAt + req.timeoutMs * waitFraction;
+        const proof = yield* this.awaitProof(req, waitUntil);
+        if (proof === undefined) return this.refuseStale(req);
+        const floor = this.chooseFloor(req.floor, proof.position);
+        const { clock, watch } = this.context;
+        const isApplied = yield* watch.waitUntil(() => compareLogPositions(watch.applied, floor) >= 0, waitUntil - clock.now());
+        if (!isApplied) return this.refuseLagging(req, floor);
+        const answer = yield* this.runAttempts(req, slot, floor);
+        if (!answer.ok) return answer;
+        watch.noteApplied(answer.val.at);
+        return this.isFreshEnough(req, slot, answer.val, proof) ? Ok(answer.val) : this.refuseStale(req);
+    }
+
+    /** Returns a proof that this upstream meets now, or one that it meets once it has applied its position. */
+    private *awaitProof(req: OwnerRequest, waitUntil: number): Operation<FreshnessProof | undefined> {
+        const { clock, watch } = this.context;
+        const maxAgeMs = req.maxAgeMs ?? 0;
+        if (maxAgeMs <= 0) return yield* this.obtainProof(waitUntil);
+        this.prover.noteRead();
+        const limit = maxAgeMs * startAgeFraction;
+        const find = (): FreshnessProof | undefined => this.prover.findYounger(watch.applied, limit);
+        const known = find();
+        if (known !== undefined) return known;
+        const obtained = yield* this.obtainProof(waitUntil);
+        // While a lagging replica catches up, an older proof than the one just obtained may be the first that it meets.
+        yield* watch.waitUntil(() => find() !== undefined, waitUntil - clock.now());
+        return find() ?? obtained;
+    }
+
+    private *obtainProof(waitUntil: number): Operation<FreshnessProof | undefined> {
+        return yield* withTimeout(this.context.clock, waitUntil - this.context.clock.now(), this.prover.obtain());
+    }
+
+    private chooseFloor(floor: LogPosition | undefined, position: LogPosition): LogPosition {
+        return floor === undefined || compareLogPositions(position, floor) > 0 ? position : floor;
+    }
+
+    private *runAttempts(req: OwnerRequest, slot: SlotRequest, floor: LogPosition): Operation<Result<UpstreamAnswer, Failure>> {
+        const { scheduler, runner, clock } = this.context;
+        for (let attempt = 0;; attempt++) {
+            const run = (): Operation<Result<UpstreamAnswer, Failure>> =>
+                runner.run(req.className, slot.deadline, attempt, connection => connection.read(req.sql, floor));
+            const scheduled = yield* scheduler.run(slot, run);
+            const answer = scheduled.ok ? scheduled.val : scheduled;
+            const isRetried = !answer.ok && answer.val.outcome === RunOutcome.Unknown && req.repeatable;
+            if (!isRetried || attempt + 1 >= maxAttempts || clock.now() >= slot.deadline) return answer;
+        }
+    }
+
+    /** The answer may have taken long; a newer proof that its data meets can still show that it is fresh enough. */
+    private isFreshEnough(req: OwnerRequest, slot: SlotRequest, answer: UpstreamAnswer, proof: FreshnessProof): boolean {
+        const newest = this.prover.findNewest(answer.at);
+        const askedAt = Math.max(proof.askedAt, newest?.askedAt ?? -Infinity);
+        const maxAgeMs = req.maxAgeMs ?? 0;
+        return maxAgeMs > 0 ? this.context.clock.now() - askedAt <= maxAgeMs : askedAt >= slot.arrivedAt;
+    }
+
+    private refuseLagging<T>(req: OwnerRequest, floor: LogPosition): Result<T, Failure> {
+        return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.DidNotRun, req.upstream, `${floor.term}.${floor.position}`));
+    }
+
+    private refuseStale<T>(req: OwnerRequest): Result<T, Failure> {
+        return Err(createFailure(Diagnostics.notFreshEnough, RunOutcome.DidNotRun, req.group, req.maxAgeMs ?? 0));
+    }
+}
--- /dev/null
+++ b/packages/routing/src/slotTicket.ts
@@ -0,0 +1,67 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { SlotRequest } from "./slotRequest";
+import { SlotTicketState } from "./slotTicketState";
+
+function ignore(): void {}
+
+/**
+ * A statement's place in the queue of an upstream, then its slot.
+ *
+ * The state lives here and not in the waiting task: a task may be cancelled after its grant and before its next step, and
+ * its `finally` block must still find the slot that it has to give back.
+ */
+export class SlotTicket {
+    public state = SlotTicketState.Waiting;
+    public refusal: Failure | undefined;
+    public grantedAt = 0;
+    /** Start tag of fair queueing within the class, in milliseconds of slot time. */
+    public startTag = 0;
+    public isLong = false;
+    public cancelTimer: () => void = ignore;
+    private wake: () => void = ignore;
+
+    private constructor(public readonly req: SlotRequest, public readonly estimateMs: number, public readonly order: number) {}
+
+    public static create(req: SlotRequest, estimateMs: number, order: number): SlotTicket {
+        return new SlotTicket(req, estimateMs, order);
+    }
+
+    /** Time at which the statement must start to be answered in time. */
+    public get latestStart(): number {
+        const expected = this.estimateMs + this.req.afterSlotMs;
+        // An estimate from a slow period must not refuse a whole class for ever, so it counts for at most half of the time.
+        return this.req.deadline - Math.min(expected, (this.req.deadline - this.req.arrivedAt) / 2);
+    }
+
+    public grant(now: number): void {
+        this.state = SlotTicketState.Granted;
+        this.grantedAt = now;
+        this.settle();
+    }
+
+    public refuse(failure: Failure): void {
+        this.state = SlotTicketState.Refused;
+        this.refusal = failure;
+        this.settle();
+    }
+
+    /** Waits until the ticket is granted or refused. */
+    public wait(): Operation<void> {
+        return perform<void>({
+            start: resume => {
+                if (this.state === SlotTicketState.Waiting) this.wake = resume;
+                else resume();
+                return ignore;
+            },
+        });
+    }
+
+    private settle(): void {
+        this.cancelTimer();
+        this.cancelTimer = ignore;
+        this.wake();
+        this.wake = ignore;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/statementRunner.ts
@@ -0,0 +1,129 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Err, Result } from "ts-results";
+import { ConnectionPool } from "./connectionPool";
+import { Diagnostics } from "./diagnostics";
+import { ProgressTimeout } from "./progressTimeout";
+import { UpstreamConnection } from "./upstreamConnection";
+import { UpstreamPeer } from "./upstreamPeer";
+
+/** Time allowed for the probe of an upstream, as a part of the timeout that had expired, and at least this long. */
+const shortestProbeMs = 50;
+/** Factor by which the timeout of a statement grows after a probe that showed a slow upstream. */
+const slowUpstreamFactor = 2;
+
+/**
+ * Runs statements on connections and finds silent ones. When a statement shows no progress for longer than its class has
+ * been observed to take, a probe on a new connection tells a silent connection from a slow upstream.
+ */
+export class StatementRunner {
+    private constructor(
+        private readonly clock: Clock,
+        private readonly peer: UpstreamPeer,
+        private readonly upstream: UpstreamSettings,
+        private readonly pool: ConnectionPool,
+        private readonly timeouts: ProgressTimeout,
+    ) {}
+
+    public static create(clock: Clock, peer: UpstreamPeer, upstream: UpstreamSettings, pool: ConnectionPool): StatementRunner {
+        return new StatementRunner(clock, peer, upstream, pool, ProgressTimeout.create());
+    }
+
+    /** Runs one statement on a connection of the pool until it ends or `deadline`. `attempt` counts from 0. */
+    public *run<T>(
+        className: string,
+        deadline: number,
+        attempt: number,
+        statement: (connection: UpstreamConnection) => Operation<Result<T, Failure>>,
+    ): Operation<Result<T, Failure>> {
+        return yield* this.pool.use(deadline, connection => this.runOn(className, deadline, attempt, statement(connection)));
+    }
+
+    /** Runs one statement on a given connection until it ends or `deadline`. */
+    public *runOn<T>(className: string, deadline: number, attempt: number, statement: Operation<Result<T, Failure>>): Operation<Result<T, Failure>> {
+        const startedAt = this.clock.now();
+        const task = Task.start(statement);
+        try {
+            const isSettled = yield* this.watch(task, className, deadline, attempt);
+            if (!isSettled) return this.createSilentFailure(startedAt);
+            const result = yield* task.join();
+            if (result.ok) this.timeouts.record(className, this.clock.now() - startedAt);
+            return result;
+        }
+        finally {
+            task.cancel();
+        }
+    }
+
+    /** Returns whether the statement ended; if not, its connection is silent or its time is over. */
+    private *watch(task: Task<unknown>, className: string, deadline: number, attempt: number): Operation<boolean> {
+        let timeout = this.timeouts.derive(className) * slowUpstreamFactor ** attempt;
+        for (;;) {
+            const left = deadline - this.clock.now();
+            if (yield* this.waitSettled(task, Math.min(timeout, left))) return true;
+            if (left <= timeout) return false;
+            if (yield* this.probe(task, Math.max(timeout, shortestProbeMs))) return task.isSettled;
+            timeout *= slowUpstreamFactor;
+        }
+    }
+
+    private *waitSettled(task: Task<unknown>, timeoutMs: number): Operation<boolean> {
+        if (task.isSettled) return true;
+        return (yield* withTimeout(this.clock, timeoutMs, waitForEnd(task))) ?? false;
+    }
+
+    /** Returns true when a new connection answers or the statement ends meanwhile, false when the upstream is slow. */
+    private *probe(task: Task<unknown>, timeoutMs: number): Operation<boolean> {
+        const probe = Task.start(withTimeout(this.clock, timeoutMs, this.openAnswering(timeoutMs)));
+        try {
+            const isProbed = yield* perform<boolean>({
+                start: resume => {
+                    task.onSettled(() => resume(false));
+                    probe.onSettled(() => probe.deliver(connection => resume(connection !== undefined), () => resume(false)));
+                    return () => {};
+                },
+            });
+            return isProbed || task.isSettled;
+        }
+        finally {
+            probe.cancel();
+        }
+    }
+
+    private *openAnswering(timeoutMs: number): Operation<UpstreamConnection | undefined> {
+        const opened = yield* this.peer.connect(this.upstream, timeoutMs);
+        if (!opened.ok) return undefined;
+        let isAdopted = false;
+        try {
+            const answer = yield* opened.val.ping();
+            if (!answer.ok) return undefined;
+            this.pool.adoptAfterFault(opened.val);
+            isAdopted = true;
+            return opened.val;
+        }
+        finally {
+            if (!isAdopted) opened.val.close();
+        }
+    }
+
+    private createSilentFailure<T>(startedAt: number): Result<T, Failure> {
+        const elapsed = Math.round(this.clock.now() - startedAt);
+        return Err(createFailure(Diagnostics.upstreamSilent, RunOutcome.Unknown, this.upstream.id, elapsed));
+    }
+}
+
+function waitForEnd(task: Task<unknown>): Operation<boolean> {
+    return perform<boolean>({
+        start: resume => {
+            task.onSettled(() => resume(true));
+            return () => {};
+        },
+    });
+}
--- /dev/null
+++ b/packages/routing/src/transactionExecutor.ts
@@ -0,0 +1,211 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { Err, Ok, Result } from "ts-results";
+import { ConnectionPool } from "./connectionPool";
+import { Diagnostics } from "./diagnostics";
+import { OpenTransaction } from "./openTransaction";
+import { OutcomeResolver } from "./outcomeResolver";
+import { OwnerContext } from "./ownerContext";
+import { PooledConnection } from "./pooledConnection";
+import { SlotRequest } from "./slotRequest";
+import { TransactionEnd } from "./transactionEnd";
+import { TransactionRequest } from "./transactionRequest";
+import { TransactionStatement } from "./transactionStatement";
+import { UpstreamAnswer } from "./upstreamAnswer";
+
+/** Time for which an open transaction may wait for its caller, in milliseconds. It holds row locks meanwhile. */
+const idleLeaseMs = 5_000;
+/** Time allowed for a rollback, in milliseconds. Afterwards the connection is closed, which rolls back as well. */
+const rollbackTimeoutMs = 1_000;
+
+/**
+ * Transactions on a primary. Each is pinned to a connection. It holds a slot only while a statement runs, so a caller that
+ * thinks does not keep urgent work waiting; its next statement goes before new work of its rank, as it holds locks.
+ */
+export class TransactionExecutor {
+    private readonly open = new Map<string, OpenTransaction>();
+    private opening = 0;
+
+    private constructor(
+        private readonly context: OwnerContext,
+        private readonly resolver: OutcomeResolver,
+        private readonly pool: ConnectionPool,
+        private readonly tasks: TaskGroup,
+    ) {}
+
+    public static create(context: OwnerContext, resolver: OutcomeResolver, pool: ConnectionPool, tasks: TaskGroup): TransactionExecutor {
+        return new TransactionExecutor(context, resolver, pool, tasks);
+    }
+
+    public get openCount(): number {
+        return this.open.size + this.opening;
+    }
+
+    public has(transactionId: string): boolean {
+        return this.open.has(transactionId);
+    }
+
+    public *begin(req: TransactionRequest): Operation<Result<void, Failure>> {
+        if (this.resolver.findTerm() !== req.term) return Err(createFailure(Diagnostics.termReplaced, RunOutcome.DidNotRun, req.upstream, req.term));
+        if (this.open.has(req.requestId)) return Err(createFailure(Diagnostics.transactionOpen, RunOutcome.DidNotRun));
+        // Slots must keep connections of their own, or transactions that wait for their callers would block all other work.
+        const limit = this.pool.limit - this.context.upstream.slots;
+        if (this.openCount >= limit) return Err(createFailure(Diagnostics.transactionLimit, RunOutcome.DidNotRun, req.upstream, this.openCount));
+        this.opening++;
+        try {
+            const deadline = this.context.clock.now() + req.timeoutMs;
+            const started = yield* this.context.scheduler.run(this.createSlot(req, deadline, false), () => this.start(req, deadline));
+            return started.ok ? started.val : started;
+        }
+        finally {
+            this.opening--;
+        }
+    }
+
+    public *execute(statement: TransactionStatement): Operation<Result<StatementResult, Failure>> {
+        const transaction = this.open.get(statement.transactionId);
+        if (transaction === undefined) return this.failLost(statement.transactionId, statement.upstream, RunOutcome.DidNotRun);
+        if (statement.sequence === transaction.nextSequence - 1 && transaction.lastAnswer !== undefined) return transaction.lastAnswer;
+        if (statement.sequence !== transaction.nextSequence || transaction.isBusy) return this.failSequence(transaction, statement.sequence);
+        transaction.nextSequence++;
+        transaction.lastAnswer = undefined;
+        const deadline = Math.min(transaction.deadline, this.context.clock.now() + statement.timeoutMs);
+        const answer = yield* this.runPinned(transaction, deadline, () => transaction.pooled.connection.executeInTransaction(statement.sql));
+        const result = answer.ok ? Ok(answer.val.result) : answer;
+        transaction.lastAnswer = result;
+        return result;
+    }
+
+    /** Commits or rolls back. Ok of a commit means that a majority holds it under the transaction's term. */
+    public *end(end: TransactionEnd): Operation<Result<UpstreamAnswer, Failure>> {
+        const transaction = this.open.get(end.transactionId);
+        // A commit may have been executed by an earlier question whose answer was lost, so its outcome is not known here.
+        if (transaction === undefined) return this.failLost(end.transactionId, end.upstream, end.commit ? RunOutcome.Unknown : RunOutcome.DidNotRun);
+        if (transaction.isBusy) return this.failSequence(transaction, transaction.nextSequence);
+        if (end.commit) return yield* this.commit(transaction, end);
+        yield* this.rollBack(transaction);
+        const result: StatementResult = { columns: [], rows: [], affectedRows: 0, insertId: 0, info: "" };
+        return Ok({ result, at: this.context.watch.applied, recordedBefore: false });
+    }
+
+    /** Rolls back the transactions of an entry VM that is gone. */
+    public rollBackOf(entryVm: string): void {
+        for (const transaction of this.open.values()) {
+            if (transaction.req.entryVm === entryVm) this.abandon(transaction);
+        }
+    }
+
+    private *start(req: TransactionRequest, deadline: number): Operation<Result<void, Failure>> {
+        const pooled = yield* this.pool.acquire(deadline);
+        if (pooled === undefined) return Err(createFailure(Diagnostics.noConnection, RunOutcome.DidNotRun, req.upstream));
+        let isPinned = false;
+        try {
+            const begun = yield* this.context.runner.runOn(req.className, deadline, 0, pooled.connection.begin(req.term));
+            // A transaction that was begun without an answer has done nothing; closing the connection ends it.
+            if (!begun.ok) return Err({ ...begun.val, outcome: RunOutcome.DidNotRun });
+            isPinned = true;
+            this.pin(req, pooled, deadline);
+            return begun;
+        }
+        finally {
+            if (!isPinned) this.pool.discard(pooled);
+        }
+    }
+
+    private pin(req: TransactionRequest, pooled: PooledConnection, deadline: number): void {
+        const transaction: OpenTransaction = {
+            req,
+            pooled,
+            deadline,
+            nextSequence: 0,
+            lastAnswer: undefined,
+            isBusy: false,
+            cancelLease: () => {},
+        };
+        this.open.set(req.requestId, transaction);
+        this.startLease(transaction);
+    }
+
+    private startLease(transaction: OpenTransaction): void {
+        const left = Math.min(idleLeaseMs, transaction.deadline - this.context.clock.now());
+        transaction.cancelLease = this.context.clock.startTimer(left, () => this.abandon(transaction));
+    }
+
+    /** Rolls back a transaction whose caller is gone or too late. A running statement is interrupted by closing its connection. */
+    private abandon(transaction: OpenTransaction): void {
+        if (!this.open.has(transaction.req.requestId)) return;
+        if (transaction.isBusy) this.forget(transaction, false);
+        else this.tasks.start(this.rollBack(transaction));
+    }
+
+    /** Runs a statement on the transaction's connection. The transaction is lost when the outcome is unknown. */
+    private *runPinned<T>(
+        transaction: OpenTransaction,
+        deadline: number,
+        statement: () => Operation<Result<T, Failure>>,
+    ): Operation<Result<T, Failure>> {
+        transaction.isBusy = true;
+        transaction.cancelLease();
+        let isIntact = false;
+        try {
+            const run = (): Operation<Result<T, Failure>> => this.context.runner.runOn(transaction.req.className, deadline, 0, statement());
+            const scheduled = yield* this.context.scheduler.run(this.createSlot(transaction.req, deadline, true), run);
+            const result = scheduled.ok ? scheduled.val : scheduled;
+            isIntact = result.ok || result.val.outcome !== RunOutcome.Unknown;
+            return result;
+        }
+        finally {
+            transaction.isBusy = false;
+            if (!isIntact) this.forget(transaction, false);
+            else if (this.open.has(transaction.req.requestId)) this.startLease(transaction);
+        }
+    }
+
+    private *commit(transaction: OpenTransaction, end: TransactionEnd): Operation<Result<UpstreamAnswer, Failure>> {
+        const { req, pooled } = transaction;
+        const { clock } = this.context;
+        const deadline = clock.now() + end.timeoutMs;
+        const commitDeadline = clock.now() + end.timeoutMs / 2;
+        const answer = yield* this.runPinned(transaction, commitDeadline, () => pooled.connection.commit(req.term, req.requestId));
+        if (!answer.ok && answer.val.outcome === RunOutcome.Unknown) return yield* this.resolver.resolve(req.requestId, deadline);
+        if (!answer.ok) {
+            yield* this.rollBack(transaction);
+            return answer;
+        }
+        this.forget(transaction, true);
+        this.context.watch.noteApplied(answer.val.at);
+        return (yield* this.resolver.secure(answer.val.at, req.term, deadline)) ? answer : this.resolver.fail(req.requestId);
+    }
+
+    private *rollBack(transaction: OpenTransaction): Operation<void> {
+        if (!this.open.has(transaction.req.requestId)) return;
+        const deadline = this.context.clock.now() + rollbackTimeoutMs;
+        const answer = yield* this.runPinned(transaction, deadline, () => transaction.pooled.connection.rollback());
+        this.forget(transaction, answer.ok);
+    }
+
+    private forget(transaction: OpenTransaction, isClean: boolean): void {
+        transaction.cancelLease();
+        if (!this.open.delete(transaction.req.requestId)) return;
+        if (isClean) this.pool.release(transaction.pooled);
+        else this.pool.discard(transaction.pooled);
+    }
+
+    private createSlot(req: TransactionRequest, deadline: number, continuesWork: boolean): SlotRequest {
+        const { className, rank, franchisee } = req;
+        return { className, rank, franchisee, arrivedAt: this.context.clock.now(), deadline, afterSlotMs: 0, continuesWork };
+    }
+
+    private failLost<T>(id: string, upstream: string, outcome: RunOutcome): Result<T, Failure> {
+        return Err(createFailure(Diagnostics.transactionLost, outcome, id, upstream));
+    }
+
+    private failSequence<T>(transaction: OpenTransaction, sequence: number): Result<T, Failure> {
+        const outcome = transaction.isBusy ? RunOutcome.Unknown : RunOutcome.DidNotRun;
+        return Err(createFailure(Diagnostics.sequenceMismatch, outcome, transaction.req.requestId, transaction.nextSequence, sequence));
+    }
+}
--- a/packages/routing/src/transactionRequest.ts
+++ b/packages/routing/src/transactionRequest.ts
@@ -12,4 +12,6 @@
     readonly term: number;
     /** Time left for the whole transaction, in milliseconds. */
     readonly timeoutMs: number;
+    /** VM of the caller's connection. The owner rolls the transaction back when that VM is gone. */
+    readonly entryVm?: string;
 }
--- /dev/null
+++ b/packages/routing/src/upstreamOwner.test.ts
@@ -0,0 +1,77 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "ts-results";
+import { FakeOwnerBed } from "./fakeOwnerBed";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+
+function createRequest(overrides: Partial<OwnerRequest> = {}): OwnerRequest {
+    return {
+        requestId: "r1",
+        upstream: "a",
+        group: "stock",
+        className: "orders",
+        rank: Rank.Urgent,
+        franchisee: "f1",
+        kind: StatementKind.Write,
+        sql: "insert 1",
+        timeoutMs: 1_000,
+        term: 1,
+        repeatable: false,
+        ...overrides,
+    };
+}
+
+/** Runs an operation on the clock and returns its result; undefined if it has not ended after `ms`. */
+function run<T>(clock: ManualClock, operation: Operation<Result<T, Failure>>, ms = 1_100): Result<T, Failure> | undefined {
+    let result: Result<T, Failure> | undefined;
+    const task = Task.start(operation);
+    task.onSettled(() => task.deliver(value => result = value, err => assert.fail(String(err))));
+    clock.advance(ms);
+    return result;
+}
+
+function readOutcome(result: Result<unknown, Failure> | undefined): string {
+    return result === undefined ? "open" : result.ok ? "ok" : result.val.outcome;
+}
+
+test("P2: a write is not acknowledged while no other upstream holds it, and no slot is held meanwhile", () => {
+    const bed = FakeOwnerBed.create();
+    for (const id of ["b", "c"]) bed.group.get(id).isReplicating = false;
+    const results: string[] = [];
+    for (let index = 0; index < 5; index++) {
+        const task = Task.start(bed.get("a").execute(createRequest({ requestId: `r${index}` })));
+        task.onSettled(() => task.deliver(value => results.push(readOutcome(value)), () => {}));
+    }
+    bed.clock.advance(100);
+    assert.equal(bed.group.get("a").log.length, 6, "all five ran, though only two slots exist");
+    assert.deepEqual(results, []);
+    bed.clock.advance(1_000);
+    assert.deepEqual(results, new Array(5).fill(RunOutcome.Unknown));
+});
+
+test("P2: a write is acknowledged as soon as one replica holds it", () => {
+    const bed = FakeOwnerBed.create();
+    bed.group.get("b").isReplicating = false;
+    const answer = run(bed.clock, bed.get("a").execute(createRequest()), 20);
+    assert.equal(readOutcome(answer), "ok");
+});
+
+test("a read on a replica sees the session's floor", () => {
+    const bed = FakeOwnerBed.create();
+    bed.group.get("b").applyDelayMs = 50;
+    const write = run(bed.clock, bed.get("a").execute(createRequest()), 20);
+    assert.ok(write?.ok);
+    const read = createRequest({ requestId: "r2", upstream: "b", kind: StatementKind.Read, floor: write.val.at, maxAgeMs: 5_000 });
+    const early = run(bed.clock, bed.get("b").execute(read), 20);
+    assert.equal(early, undefined);
+    const answer = run(bed.clock, bed.get("b").execute(read), 200);
+    assert.ok(answer?.ok);
+    assert.ok(answer.val.at.position >= write.val.at.position);
+});
--- /dev/null
+++ b/packages/routing/src/upstreamOwner.ts
@@ -0,0 +1,228 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { Err, Result } from "ts-results";
+import { ConfirmedPosition } from "./confirmedPosition";
+import { ConnectionPool } from "./connectionPool";
+import { Diagnostics } from "./diagnostics";
+import { FreshnessProver } from "./freshnessProver";
+import { GroupPeer } from "./groupPeer";
+import { OutcomeRequest } from "./outcomeRequest";
+import { OutcomeResolver } from "./outcomeResolver";
+import { OwnerAnswer } from "./ownerAnswer";
+import { OwnerContext } from "./ownerContext";
+import { OwnerLink } from "./ownerLink";
+import { OwnerLoad } from "./ownerLoad";
+import { OwnerRequest } from "./ownerRequest";
+import { PositionConfirmation } from "./positionConfirmation";
+import { ReadExecutor } from "./readExecutor";
+import { SharedRates } from "./sharedRates";
+import { SlotRequest } from "./slotRequest";
+import { SlotScheduler } from "./slotScheduler";
+import { StatementKind } from "./statementKind";
+import { StatementRunner } from "./statementRunner";
+import { TransactionEnd } from "./transactionEnd";
+import { TransactionExecutor } from "./transactionExecutor";
+import { TransactionRequest } from "./transactionRequest";
+import { TransactionStatement } from "./transactionStatement";
+import { UpstreamAnswer } from "./upstreamAnswer";
+import { UpstreamOwnerSettings } from "./upstreamOwnerSettings";
+import { UpstreamWatch } from "./upstreamWatch";
+import { WriteConfirmation } from "./writeConfirmation";
+import { WriteExecutor } from "./writeExecutor";
+
+/** Time for which a leaving primary goes on taking work, so that another upstream can become primary, in milliseconds. */
+const leavingPrimaryGraceMs = 2_000;
+
+/** Interval at which a draining owner looks for the end of its transactions, in milliseconds. */
+const drainPollMs = 50;
+
+/**
+ * The owner role for one upstream: all its connections and slots, and one queue for all callers. Nothing runs until the
+ * operation of `run` is started.
+ */
+export class UpstreamOwner implements OwnerLink {
+    private readonly tasks: TaskGroup;
+    private readonly context: OwnerContext;
+    private readonly status: GroupPeer;
+    private readonly pool: ConnectionPool;
+    private readonly prover: FreshnessProver;
+    private readonly positions: PositionConfirmation;
+    private readonly reads: ReadExecutor;
+    private readonly writes: WriteExecutor;
+    private readonly transactions: TransactionExecutor;
+    private readonly resolver: OutcomeResolver;
+    private readonly ended = Signal.create<void>();
+    private inFlight = 0;
+    private isDraining = false;
+    private leavingSince: number | undefined;
+
+    private constructor(private readonly settings: UpstreamOwnerSettings) {
+        const { clock, group, upstream, peer, groups, owners, configuration } = settings;
+        this.tasks = TaskGroup.create(err => settings.logger?.error({ upstream: upstream.id, err }, "owner task failed"));
+        this.status = peer.openGroupPeer(upstream);
+        this.pool = ConnectionPool.create(clock, peer, upstream);
+        this.context = {
+            clock,
+            group,
+            upstream,
+            groups,
+            control: peer.openGroupPeer(upstream),
+            scheduler: SlotScheduler.create(clock, upstream.slots, settings.sharedRates),
+            runner: StatementRunner.create(clock, peer, upstream, this.pool),
+            watch: UpstreamWatch.create(clock, this.status),
+            confirmation: WriteConfirmation.create(clock, peer, group, upstream.id),
+        };
+        this.prover = FreshnessProver.create(clock, this.tasks, group.name, groups, owners, configuration);
+        this.positions = PositionConfirmation.create(clock, this.tasks, this.status, group, peer, status => this.context.watch.accept(status));
+        this.resolver = OutcomeResolver.create(this.context);
+        this.reads = ReadExecutor.create(this.context, this.prover);
+        this.writes = WriteExecutor.create(this.context, this.resolver);
+        this.transactions = TransactionExecutor.create(this.context, this.resolver, this.pool, this.tasks);
+    }
+
+    public static create(settings: UpstreamOwnerSettings): UpstreamOwner {
+        return new UpstreamOwner(settings);
+    }
+
+    public get upstream(): string {
+        return this.settings.upstream.id;
+    }
+
+    /** The background work of the role. Ends when `drain` is done. */
+    public *run(): Operation<void> {
+        try {
+            this.tasks.start(this.pool.run());
+            this.tasks.start(this.context.watch.run());
+            this.tasks.start(this.prover.run());
+            this.context.confirmation.start(this.tasks);
+            while (!this.isEnded) yield* this.ended.wait();
+        }
+        finally {
+            this.pool.close();
+            yield* this.tasks.cancelAll();
+            this.status.close();
+            this.context.control.close();
+            this.positions.close();
+        }
+    }
+
+    /** Takes no new work, finishes what is in flight, then ends `run`. Open transactions end by their deadlines. */
+    public *drain(): Operation<void> {
+        this.isDraining = true;
+        while (!this.isEnded) yield* race([this.ended.wait(), sleep(this.context.clock, drainPollMs)]);
+        this.ended.notifyAll();
+    }
+
+    public *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        const refusal = this.checkNewWork(req.upstream);
+        if (refusal !== undefined) return Err(refusal);
+        const arrivedAt = this.context.clock.now();
+        const isWrite = req.kind === StatementKind.Write;
+        const slot: SlotRequest = {
+            className: req.className,
+            rank: req.rank,
+            franchisee: req.franchisee,
+            arrivedAt,
+            deadline: arrivedAt + req.timeoutMs,
+            afterSlotMs: isWrite ? this.writes.expectedConfirmationMs : 0,
+            continuesWork: false,
+        };
+        const answer = yield* this.track(isWrite ? this.writes.execute(req, slot) : this.reads.execute(req, slot));
+        return answer.map(value => this.createAnswer(req.requestId, value));
+    }
+
+    public *begin(req: TransactionRequest): Operation<Result<void, Failure>> {
+        const refusal = this.checkNewWork(req.upstream);
+        return refusal === undefined ? yield* this.track(this.transactions.begin(req)) : Err(refusal);
+    }
+
+    public *executeInTransaction(req: TransactionStatement): Operation<Result<StatementResult, Failure>> {
+        return yield* this.track(this.transactions.execute(req));
+    }
+
+    public *endTransaction(req: TransactionEnd): Operation<Result<OwnerAnswer, Failure>> {
+        const answer = yield* this.track(this.transactions.end(req));
+        return answer.map(value => this.createAnswer(req.transactionId, value));
+    }
+
+    public *resolveOutcome(req: OutcomeRequest): Operation<Result<OwnerAnswer, Failure>> {
+        const answer = yield* this.track(this.resolver.resolve(req.requestId, this.context.clock.now() + req.timeoutMs));
+        return answer.map(value => this.createAnswer(req.requestId, value));
+    }
+
+    public *confirmPosition(group: string, upstream: string, timeoutMs: number): Operation<Result<ConfirmedPosition, Failure>> {
+        return yield* this.positions.confirm(timeoutMs);
+    }
+
+    public hasTransaction(transactionId: string): boolean {
+        return this.transactions.has(transactionId);
+    }
+
+    /** Rolls back the open transactions of an entry VM that is gone. */
+    public rollBackOf(entryVm: string): void {
+        this.transactions.rollBackOf(entryVm);
+    }
+
+    /** The ordinary shares measured here, for the next owner. */
+    public exportRates(): SharedRates {
+        return { upstream: this.upstream, slotTimeByClass: this.context.scheduler.exportRates(), ageMs: 0 };
+    }
+
+    /** Takes over shares that a previous owner measured, for classes without a share here. */
+    public adoptRates(rates: SharedRates): void {
+        this.context.scheduler.adoptRates(rates);
+    }
+
+    private get isEnded(): boolean {
+        return this.isDraining && this.inFlight === 0 && this.transactions.openCount === 0;
+    }
+
+    /** Counts work in flight, which `drain` waits for. */
+    private *track<T>(operation: Operation<T>): Operation<T> {
+        this.inFlight++;
+        try {
+            return yield* operation;
+        }
+        finally {
+            this.inFlight--;
+            if (this.isEnded) this.ended.notifyAll();
+        }
+    }
+
+    private checkNewWork(upstream: string): Failure | undefined {
+        if (upstream !== this.upstream) return createFailure(Diagnostics.ownerChanged, RunOutcome.DidNotRun, upstream);
+        if (this.isDraining) return createFailure(Diagnostics.ownerChanged, RunOutcome.DidNotRun, upstream);
+        return this.isLeaving() ? createFailure(Diagnostics.upstreamLeaving, RunOutcome.DidNotRun, upstream) : undefined;
+    }
+
+    private isLeaving(): boolean {
+        const configured = this.settings.configuration.current?.groups.get(this.settings.group.name)?.upstreams.find(other => other.id === this.upstream);
+        const leaving = this.context.watch.isLeaving || this.settings.owners.isLeaving(this.upstream) || (configured?.leaving ?? false);
+        if (!leaving) {
+            this.leavingSince = undefined;
+            return false;
+        }
+        const now = this.context.clock.now();
+        this.leavingSince ??= now;
+        const isPrimary = this.resolver.findTerm() !== undefined;
+        return !isPrimary || now - this.leavingSince >= leavingPrimaryGraceMs;
+    }
+
+    private createAnswer(requestId: string, answer: UpstreamAnswer): OwnerAnswer {
+        return { requestId, result: answer.result, at: answer.at, load: this.createLoad() };
+    }
+
+    private createLoad(): OwnerLoad {
+        const { watch, scheduler, clock } = this.context;
+        const proof = this.prover.findNewest(watch.applied);
+        const provenAgeMs = proof === undefined ? undefined : clock.now() - proof.askedAt;
+        return { upstream: this.upstream, queueDelayMs: scheduler.estimateDelay(), applied: watch.applied, provenAgeMs };
+    }
+}
--- /dev/null
+++ b/packages/routing/src/upstreamOwnerSettings.ts
@@ -0,0 +1,25 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { createLogger } from "@vanillarouter/base/createLogger";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { GroupDirectory } from "./groupDirectory";
+import { OwnerDirectory } from "./ownerDirectory";
+import { SharedRates } from "./sharedRates";
+import { UpstreamPeer } from "./upstreamPeer";
+
+/** What the owner of an upstream is made of. */
+export interface UpstreamOwnerSettings {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly group: DatabaseGroup;
+    readonly upstream: UpstreamSettings;
+    readonly peer: UpstreamPeer;
+    readonly groups: GroupDirectory;
+    readonly owners: OwnerDirectory;
+    readonly configuration: ConfigurationSource;
+    readonly logger?: ReturnType<typeof createLogger>;
+    /** Ordinary shares that a previous owner measured. */
+    readonly sharedRates?: SharedRates;
+}
