--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -43,4 +43,9 @@
         "End the transaction before using another database.",
     ),
     transactionAborted: message(1233, "transaction {0} was rolled back after a failure", "Send ROLLBACK, then start the transaction again."),
+    positionNotConfirmed: message(1260, "the term of upstream {0} could not be confirmed", "Retried; check that a majority of the group is reachable."),
+    draining: message(1261, "the owner of upstream {0} is handing it over", "Retried by the entry VM with the next owner."),
+    transactionLimit: message(1262, "upstream {0} has {1} open transactions, which is its limit", "Retry later, or end transactions sooner."),
+    sequenceMismatch: message(1263, "transaction {0} expected statement {1} and got {2}", "Start the transaction again."),
+    noConnection: message(1264, "no connection to upstream {0} could be opened in time", "Check that the upstream is reachable and its connection limit."),
 } as const;
