--- /dev/null
+++ b/packages/standins/src/controlCalls.ts
@@ -0,0 +1,112 @@
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ErrorNumber } from "./errorNumber";
+import { GroupEntry } from "./groupEntry";
+import { GroupError } from "./groupError";
+import { GroupUpstream } from "./groupUpstream";
+import { StatementHint } from "./statementHint";
+import { StatementReply } from "./statementReply";
+
+type Arguments = readonly (string | number | undefined)[];
+
+const statusColumns = [
+    "upstream",
+    "role",
+    "accepted_term",
+    "received_term",
+    "received_position",
+    "applied_term",
+    "applied_position",
+    "primary_id",
+    "primary_silence_ms",
+    "leaving",
+    "held",
+];
+const outcomeColumns = ["cancelled", "term", "position", "affected_rows", "insert_id"];
+
+/** The `CALL vr_...` procedures of an upstream. They use no slot. */
+export class ControlCalls {
+    private constructor(private readonly upstream: GroupUpstream) {}
+
+    public static create(upstream: GroupUpstream): ControlCalls {
+        return new ControlCalls(upstream);
+    }
+
+    public async run(name: string, args: Arguments, hint: StatementHint, connection: number): Promise<StatementReply> {
+        const member = this.upstream.member;
+        if (name === "vr_status") return this.describeStatus(false);
+        if (name === "vr_accept_term") return this.acceptTerm(Number(args[0]));
+        if (name === "vr_lookup") return this.describeOutcome(member.log.findRequest(String(args[0])));
+        if (name === "vr_cancel") return this.describeOutcome(this.cancel(String(args[0]), hint, connection));
+        if (name === "vr_wait_received") return this.waitReceived({ term: Number(args[0]), position: Number(args[1]) }, Number(args[2]));
+        if (name === "vr_promote") member.promote(Number(args[0]));
+        else if (name === "vr_follow") member.follow(Number(args[0]), String(args[1]));
+        else throw GroupError.create(ErrorNumber.ParseError, `procedure ${name} does not exist`);
+        return this.describeStatus(false);
+    }
+
+    private describeStatus(held: boolean): StatementReply {
+        const member = this.upstream.member;
+        const received = member.log.last;
+        const applied = member.appliedPosition;
+        const row = [
+            member.id,
+            member.isPrimary ? "primary" : "replica",
+            member.acceptedTerm,
+            received.term,
+            received.position,
+            applied.term,
+            applied.position,
+            member.primary,
+            member.primarySilenceMs,
+            this.upstream.faults.leaving ? 1 : 0,
+            held ? 1 : 0,
+        ];
+        return { columns: statusColumns, rows: [row] };
+    }
+
+    private acceptTerm(term: number): StatementReply {
+        const member = this.upstream.member;
+        const accepted = member.acceptTerm(term);
+        const { term: lastTerm, position } = member.log.last;
+        return {
+            columns: ["accepted", "accepted_term", "received_term", "received_position"],
+            rows: [[accepted ? 1 : 0, member.acceptedTerm, lastTerm, position]],
+        };
+    }
+
+    private cancel(requestId: string, hint: StatementHint, connection: number): GroupEntry {
+        const member = this.upstream.member;
+        if (!member.isPrimary || (hint.term !== undefined && hint.term !== member.acceptedTerm)) throw member.createTermError();
+        const recorded = member.log.findRequest(requestId);
+        if (recorded !== undefined) return recorded;
+        const entry = member.append({ requestId, cancelled: true, operations: [], statements: [], affectedRows: 0, insertId: 0 });
+        const at = `${entry.term}.${entry.position}`;
+        this.upstream.record.add({ kind: "cancel", connection, requestId, sql: "", role: "primary", at }, false);
+        return entry;
+    }
+
+    private describeOutcome(entry: GroupEntry | undefined): StatementReply {
+        if (entry === undefined) return { columns: outcomeColumns, rows: [] };
+        return { columns: outcomeColumns, rows: [[entry.cancelled === true ? 1 : 0, entry.term, entry.position, entry.affectedRows, entry.insertId]] };
+    }
+
+    /** Answers with `held` 1 when the log contains the entry; with 0 after `waitMs` or when the term can no longer bring it. */
+    private async waitReceived(entry: LogPosition, waitMs: number): Promise<StatementReply> {
+        const member = this.upstream.member;
+        const isDecided = (): boolean => member.log.holds(entry) || member.acceptedTerm > entry.term;
+        if (!isDecided()) {
+            await new Promise<void>(resolve => {
+                const finish = (): void => {
+                    clearTimeout(timer);
+                    removeListener();
+                    resolve();
+                };
+                const timer = setTimeout(finish, waitMs);
+                const removeListener = member.onChange(() => {
+                    if (isDecided()) finish();
+                });
+            });
+        }
+        return this.describeStatus(member.log.holds(entry));
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupConnection.ts
@@ -0,0 +1,171 @@
+import { createHash } from "node:crypto";
+import { Socket } from "node:net";
+import { ErrorNumber } from "./errorNumber";
+import { GroupError } from "./groupError";
+import { GroupSession } from "./groupSession";
+import { GroupUpstream } from "./groupUpstream";
+import { OkPacket } from "./okPacket";
+import { StatementReply } from "./statementReply";
+
+/** The server side of a `mysql2` connection, as far as it is used here; the library has no types for it. */
+interface ServerConnection {
+    readonly stream: Socket;
+    on(event: string, listener: (...args: never[]) => void): void;
+    serverHandshake(args: Readonly<Record<string, unknown>>): void;
+    writeColumns(columns: readonly unknown[]): void;
+    writeTextRow(row: readonly unknown[]): void;
+    writeEof(): void;
+    writeOk(): void;
+    writePacket(packet: OkPacket): void;
+    writeError(args: { readonly code: number; readonly message: string; }): void;
+    _resetSequenceId(): void;
+}
+
+interface Login {
+    readonly user: string;
+    readonly authPluginData1: Buffer;
+    readonly authPluginData2: Buffer;
+    readonly authToken: Buffer;
+}
+
+/** utf8mb4_general_ci */
+const characterSet = 45;
+const varString = 253;
+const longLong = 8;
+/** LONG_PASSWORD, LONG_FLAG, CONNECT_WITH_DB, PROTOCOL_41, TRANSACTIONS, SECURE_CONNECTION, PLUGIN_AUTH, CONNECT_ATTRS. */
+const capabilityFlags = 0x1 | 0x4 | 0x8 | 0x200 | 0x2000 | 0x8000 | 0x80000 | 0x100000;
+const statementClose = 0x19;
+
+function hash(...parts: readonly Buffer[]): Buffer {
+    const sha1 = createHash("sha1");
+    for (const part of parts) sha1.update(part);
+    return sha1.digest();
+}
+
+/** Checks a `mysql_native_password` answer. */
+function isPasswordRight(password: string, login: Login): boolean {
+    if (password === "") return login.authToken.length === 0;
+    const stage1 = hash(Buffer.from(password));
+    const mask = hash(Buffer.concat([login.authPluginData1, login.authPluginData2.subarray(0, 12)]), hash(stage1));
+    return login.authToken.equals(Buffer.from(stage1.map((byte, index) => byte ^ mask[index]!)));
+}
+
+/** One client connection of a stand-in. Decides whether packets pass, as the faults of the upstream demand. */
+export class GroupConnection {
+    private silent = false;
+    private readonly held: (() => void)[] = [];
+    private readonly session: GroupSession;
+
+    private constructor(private readonly upstream: GroupUpstream, private readonly connection: ServerConnection, private readonly id: number) {
+        this.session = GroupSession.create(upstream, id);
+        connection.on("error", () => connection.stream.destroy());
+        connection.on("query", (sql: string) => this.pass(() => void this.answer(sql)));
+        connection.on("ping", () => this.pass(() => this.reply(() => connection.writeOk())));
+        connection.on("init_db", () => this.pass(() => this.reply(() => connection.writeOk())));
+        connection.on("stmt_prepare", () => this.rejectUnsupported());
+        connection.on("packet", (_packet: unknown, known: boolean, code: number) => {
+            if (!known && code !== statementClose) this.rejectUnsupported();
+        });
+    }
+
+    public static create(upstream: GroupUpstream, connection: unknown, id: number): GroupConnection {
+        return new GroupConnection(upstream, connection as ServerConnection, id);
+    }
+
+    /** Sends the greeting after the time that a new connection takes. */
+    public greet(tooMany: boolean): void {
+        setTimeout(() => this.pass(() => tooMany ? this.refuse() : this.startHandshake()), this.upstream.options.connectMs);
+    }
+
+    /** From now on the connection neither takes nor sends anything, and stays open. */
+    public becomeSilent(): void {
+        this.silent = true;
+        this.held.length = 0;
+    }
+
+    /** Lets through what waited for the end of an isolation. */
+    public resume(): void {
+        for (const action of this.held.splice(0)) action();
+    }
+
+    public close(): void {
+        this.connection.stream.destroy();
+    }
+
+    private refuse(): void {
+        this.connection.writeError({ code: ErrorNumber.TooManyConnections, message: "Too many connections" });
+        this.connection.stream.end();
+    }
+
+    private startHandshake(): void {
+        this.connection.serverHandshake({
+            protocolVersion: 10,
+            serverVersion: "8.0.0-vr-group",
+            connectionId: this.id,
+            statusFlags: 2,
+            characterSet,
+            capabilityFlags,
+            authCallback: (login: Login, done: (err: undefined, rejection?: { message: string; code: number; }) => void) => this.checkLogin(login, done),
+        });
+    }
+
+    private checkLogin(login: Login, done: (err: undefined, rejection?: { message: string; code: number; }) => void): void {
+        const { user, password } = this.upstream.options;
+        const accepted = login.user === user && isPasswordRight(password, login);
+        this.pass(() => {
+            done(undefined, accepted ? undefined : { message: `Access denied for user '${login.user}'`, code: ErrorNumber.AccessDenied });
+            this.connection._resetSequenceId();
+        });
+    }
+
+    private rejectUnsupported(): void {
+        this.pass(() => this.reply(() => this.connection.writeError({ code: ErrorNumber.UnsupportedPrepared, message: "command is not supported" })));
+    }
+
+    private async answer(sql: string): Promise<void> {
+        try {
+            const reply = await this.session.execute(sql);
+            const isWrite = "message" in reply && reply.message !== "";
+            if (isWrite && this.upstream.takeLostReply()) this.close();
+            else this.pass(() => this.reply(() => this.write(reply)));
+        }
+        catch (err) {
+            this.upstream.record.addRejection();
+            const code = err instanceof GroupError ? err.errno : ErrorNumber.Signal;
+            this.pass(() => this.reply(() => this.connection.writeError({ code, message: (err as Error).message })));
+        }
+    }
+
+    /** Sends one reply in one write, and expects the next command with sequence number 0. */
+    private reply(write: () => void): void {
+        const stream = this.connection.stream;
+        if (stream.destroyed) return;
+        stream.cork();
+        write();
+        stream.uncork();
+        this.connection._resetSequenceId();
+    }
+
+    private write(reply: StatementReply): void {
+        if (!("columns" in reply)) {
+            this.connection.writePacket(OkPacket.create(reply.affectedRows, reply.insertId, reply.message));
+            return;
+        }
+        this.connection.writeColumns(reply.columns.map((name, index) => this.describeColumn(name, typeof reply.rows[0]?.[index] === "number")));
+        for (const row of reply.rows) this.connection.writeTextRow(row.map(value => value === undefined ? null : String(value)));
+        this.connection.writeEof();
+    }
+
+    private describeColumn(name: string, isNumber: boolean): Readonly<Record<string, unknown>> {
+        const common = { catalog: "def", schema: "", table: "", orgTable: "", name, orgName: name, flags: 0, decimals: 0 };
+        return isNumber
+            ? { ...common, characterSet: 63, columnLength: 20, columnType: longLong }
+            : { ...common, characterSet, columnLength: 1020, columnType: varString };
+    }
+
+    private pass(action: () => void): void {
+        if (this.silent) return;
+        if (this.upstream.faults.isolatedFromClients) this.held.push(action);
+        else action();
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupError.ts
@@ -0,0 +1,11 @@
+/** A rejected statement, with the MySQL error number and text that the client gets. */
+export class GroupError extends Error {
+    private constructor(public readonly errno: number, message: string) {
+        super(message);
+        this.name = "GroupError";
+    }
+
+    public static create(errno: number, message: string): GroupError {
+        return new GroupError(errno, message);
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupMember.ts
@@ -0,0 +1,155 @@
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ErrorNumber } from "./errorNumber";
+import { GroupEntry } from "./groupEntry";
+import { GroupError } from "./groupError";
+import { GroupLog } from "./groupLog";
+import { GroupStore } from "./groupStore";
+
+/** What a write appends. */
+type NewEntry = Omit<GroupEntry, "term" | "position">;
+
+/**
+ * The state of one upstream: accepted term, role, log and tables.
+ *
+ * An upstream takes no entry of a term below the accepted one. A primary that was replaced without being told keeps
+ * executing locally; it learns of its replacement only through `acceptTerm` and `follow`.
+ */
+export class GroupMember {
+    public readonly log = GroupLog.create();
+    public readonly discarded: GroupEntry[] = [];
+    private term = 0;
+    private primaryId: string | undefined;
+    private applied = 0;
+    private lastContactAt = performance.now();
+    private readonly due: { readonly position: number; readonly at: number; }[] = [];
+    private applyTimer: NodeJS.Timeout | undefined;
+    private readonly listeners = new Set<() => void>();
+
+    private constructor(public readonly id: string, public readonly store: GroupStore, private applyLagMs: number) {}
+
+    public static create(id: string, store: GroupStore, applyLagMs: number): GroupMember {
+        return new GroupMember(id, store, applyLagMs);
+    }
+
+    public get acceptedTerm(): number {
+        return this.term;
+    }
+
+    public get primary(): string | undefined {
+        return this.primaryId;
+    }
+
+    public get isPrimary(): boolean {
+        return this.primaryId === this.id;
+    }
+
+    public get appliedPosition(): LogPosition {
+        return this.log.positionAt(this.applied);
+    }
+
+    /** Milliseconds since the primary was last heard; 0 on the primary. */
+    public get primarySilenceMs(): number {
+        return this.isPrimary ? 0 : Math.round(performance.now() - this.lastContactAt);
+    }
+
+    /** Calls the listener after each change of term, role or log. Returns a function that removes it. */
+    public onChange(listener: () => void): () => void {
+        this.listeners.add(listener);
+        return () => this.listeners.delete(listener);
+    }
+
+    public setApplyLag(applyLagMs: number): void {
+        this.applyLagMs = applyLagMs;
+    }
+
+    public acceptTerm(term: number): boolean {
+        if (term <= this.term) return false;
+        this.term = term;
+        this.primaryId = undefined;
+        this.notify();
+        return true;
+    }
+
+    public promote(term: number): void {
+        if (term !== this.term) throw this.createTermError();
+        if (this.isPrimary) return;
+        if (this.primaryId !== undefined) throw this.createTermError();
+        this.primaryId = this.id;
+        this.append({ operations: [], statements: [], affectedRows: 0, insertId: 0 });
+    }
+
+    public follow(term: number, primary: string): void {
+        if (term < this.term || primary === this.id) throw this.createTermError();
+        if (term === this.term && this.primaryId !== undefined && this.primaryId !== primary) throw this.createTermError();
+        if (term === this.term && this.primaryId === primary) return;
+        this.term = term;
+        this.primaryId = primary;
+        this.lastContactAt = performance.now();
+        this.notify();
+    }
+
+    /** Appends an entry as primary and applies it with everything before it. */
+    public append(entry: NewEntry): GroupEntry {
+        const added: GroupEntry = { term: this.term, position: this.log.length + 1, ...entry };
+        this.log.append(added);
+        this.applyUpTo(added.position);
+        this.notify();
+        return added;
+    }
+
+    /** Takes entries from the primary of `term`. They are applied after the lag. */
+    public receive(term: number, entries: readonly GroupEntry[]): void {
+        if (term !== this.term || this.isPrimary) return;
+        this.lastContactAt = performance.now();
+        if (entries.length === 0) return;
+        for (const entry of entries) this.log.append(entry);
+        if (this.applyLagMs === 0 && this.due.length === 0) this.applyUpTo(this.log.length);
+        else this.scheduleApply(entries.at(-1)!.position);
+        this.notify();
+    }
+
+    /** Drops the entries after `position`, and what they changed. */
+    public discardAfter(position: number): void {
+        if (position >= this.log.length) return;
+        this.discarded.push(...this.log.truncate(position));
+        this.due.splice(0, this.due.length, ...this.due.filter(entry => entry.position <= position));
+        if (this.applied <= position) return;
+        this.applied = 0;
+        this.store.clear();
+        this.applyUpTo(position);
+    }
+
+    public createTermError(): GroupError {
+        const role = this.isPrimary ? "primary" : "replica";
+        return GroupError.create(ErrorNumber.Signal, `vr_term accepted=${this.term} role=${role}`);
+    }
+
+    private scheduleApply(position: number): void {
+        this.due.push({ position, at: performance.now() + this.applyLagMs });
+        if (this.applyTimer === undefined) this.startApplyTimer();
+    }
+
+    private startApplyTimer(): void {
+        const next = this.due[0];
+        if (next === undefined) return;
+        this.applyTimer = setTimeout(() => this.applyDue(), Math.max(0, next.at - performance.now()));
+    }
+
+    private applyDue(): void {
+        this.applyTimer = undefined;
+        const now = performance.now();
+        while (this.due[0] !== undefined && this.due[0].at <= now) this.applyUpTo(this.due.shift()!.position);
+        this.startApplyTimer();
+    }
+
+    private applyUpTo(position: number): void {
+        while (this.applied < Math.min(position, this.log.length)) {
+            this.applied++;
+            for (const operation of this.log.find(this.applied)!.operations) this.store.apply(operation);
+        }
+    }
+
+    private notify(): void {
+        for (const listener of [...this.listeners]) listener();
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupSession.ts
@@ -0,0 +1,180 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ControlCalls } from "./controlCalls";
+import { ErrorNumber } from "./errorNumber";
+import { GroupEntry } from "./groupEntry";
+import { GroupError } from "./groupError";
+import { GroupOperation } from "./groupOperation";
+import { GroupStatement } from "./groupStatement";
+import { GroupUpstream } from "./groupUpstream";
+import { parseGroupStatement } from "./parseGroupStatement";
+import { planWrite } from "./planWrite";
+import { selectRows } from "./selectRows";
+import { StatementHint } from "./statementHint";
+import { StatementReply } from "./statementReply";
+
+interface OpenTransaction {
+    readonly id: string;
+    readonly operations: GroupOperation[];
+    readonly statements: string[];
+    affectedRows: number;
+    insertId: number;
+}
+
+function formatPosition(at: LogPosition): string {
+    return `${at.term}.${at.position}`;
+}
+
+/** Executes the statements of one client connection, one after another. */
+export class GroupSession {
+    private transaction: OpenTransaction | undefined;
+    private transactions = 0;
+    private readonly calls: ControlCalls;
+
+    private constructor(private readonly upstream: GroupUpstream, private readonly connection: number) {
+        this.calls = ControlCalls.create(upstream);
+    }
+
+    public static create(upstream: GroupUpstream, connection: number): GroupSession {
+        return new GroupSession(upstream, connection);
+    }
+
+    /** Executes one statement. Throws GroupError for a rejected one. */
+    public async execute(text: string): Promise<StatementReply> {
+        const { hint, sql, statement } = parseGroupStatement(text);
+        if (statement === undefined) throw GroupError.create(ErrorNumber.ParseError, `statement is not supported by the stand-in: ${sql.slice(0, 80)}`);
+        if (statement.kind === "call") return this.calls.run(statement.name, statement.args, hint, this.connection);
+        this.checkBefore(statement, hint);
+        await this.upstream.slots.acquire();
+        try {
+            const delayMs = this.upstream.faults.statementMs;
+            if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs));
+            return this.run(statement, hint, sql);
+        }
+        finally {
+            this.upstream.slots.release();
+        }
+    }
+
+    private checkBefore(statement: GroupStatement, hint: StatementHint): void {
+        const isRead = statement.kind === "select" || statement.kind === "constant";
+        if (isRead) this.checkFloor(hint);
+        else if (statement.kind !== "rollback") this.checkPrimary(hint);
+        if (hint.requestId !== undefined && !isRead) this.checkUnknown(hint.requestId);
+    }
+
+    private run(statement: GroupStatement, hint: StatementHint, sql: string): StatementReply {
+        switch (statement.kind) {
+            case "select":
+            case "constant":
+                return this.read(statement, hint, sql);
+            case "begin":
+                return this.begin(hint, sql);
+            case "commit":
+                return this.commit(hint, sql);
+            case "rollback":
+                return this.rollback(sql);
+            case "call":
+                throw new Error("calls are executed without a slot");
+            default:
+                return this.write(statement, hint, sql);
+        }
+    }
+
+    private read(statement: GroupStatement & { kind: "select" | "constant"; }, hint: StatementHint, sql: string): StatementReply {
+        this.checkFloor(hint);
+        const at = formatPosition(this.upstream.member.appliedPosition);
+        const found = statement.kind === "constant"
+            ? { columns: [String(statement.value)], rows: [[statement.value]] }
+            : selectRows(statement, this.upstream.member.store, this.transaction?.operations ?? []);
+        this.record(this.transaction === undefined ? "read" : "statement", sql, at, undefined, true);
+        return { columns: [...found.columns, "vr_at"], rows: found.rows.map(row => [...row, at]) };
+    }
+
+    private write(
+        statement: GroupStatement & { kind: "insertOrder" | "insertStock" | "addStock" | "setStock"; },
+        hint: StatementHint,
+        sql: string,
+    ): StatementReply {
+        this.checkPrimary(hint);
+        if (hint.requestId !== undefined) this.checkUnknown(hint.requestId);
+        const pending = this.transaction?.operations ?? [];
+        const plan = planWrite(statement, this.upstream.member.store, pending);
+        if (this.transaction !== undefined) {
+            this.transaction.operations.push(...plan.operations);
+            this.transaction.statements.push(sql);
+            this.transaction.affectedRows += plan.affectedRows;
+            this.transaction.insertId = plan.insertId;
+            this.record("statement", sql, formatPosition(this.upstream.member.log.last));
+            return { affectedRows: plan.affectedRows, insertId: plan.insertId, message: "" };
+        }
+        const entry = this.upstream.member.append({ requestId: hint.requestId, ...plan, statements: [sql] });
+        this.record("write", sql, formatPosition(entry), hint.requestId);
+        return this.describeEntry(entry);
+    }
+
+    private begin(hint: StatementHint, sql: string): StatementReply {
+        this.checkPrimary(hint);
+        this.transaction = { id: `${this.connection}-${++this.transactions}`, operations: [], statements: [], affectedRows: 0, insertId: 0 };
+        this.record("begin", sql, formatPosition(this.upstream.member.log.last));
+        return { affectedRows: 0, insertId: 0, message: "" };
+    }
+
+    private commit(hint: StatementHint, sql: string): StatementReply {
+        const transaction = this.transaction;
+        this.transaction = undefined;
+        this.checkPrimary(hint);
+        if (hint.requestId !== undefined) this.checkUnknown(hint.requestId);
+        const { operations = [], statements = [], affectedRows = 0, insertId = 0 } = transaction ?? {};
+        const entry = this.upstream.member.append({
+            requestId: hint.requestId,
+            operations,
+            statements,
+            transaction: transaction?.id,
+            affectedRows,
+            insertId,
+        });
+        this.record("commit", sql, formatPosition(entry), hint.requestId, false, transaction?.id);
+        return this.describeEntry(entry);
+    }
+
+    private rollback(sql: string): StatementReply {
+        this.record("rollback", sql, formatPosition(this.upstream.member.log.last));
+        this.transaction = undefined;
+        return { affectedRows: 0, insertId: 0, message: "" };
+    }
+
+    private describeEntry(entry: GroupEntry): StatementReply {
+        return { affectedRows: entry.affectedRows, insertId: entry.insertId, message: `vr_at=${formatPosition(entry)}` };
+    }
+
+    private checkPrimary(hint: StatementHint): void {
+        const member = this.upstream.member;
+        if (!member.isPrimary || (hint.term !== undefined && hint.term !== member.acceptedTerm)) throw member.createTermError();
+    }
+
+    private checkUnknown(requestId: string): void {
+        const entry = this.upstream.member.log.findRequest(requestId);
+        if (entry === undefined) return;
+        const outcome = `cancelled=${entry.cancelled === true ? 1 : 0} at=${formatPosition(entry)}`;
+        throw GroupError.create(ErrorNumber.Signal, `vr_known ${outcome} affected=${entry.affectedRows} insert_id=${entry.insertId}`);
+    }
+
+    private checkFloor(hint: StatementHint): void {
+        const applied = this.upstream.member.appliedPosition;
+        if (hint.floor === undefined || compareLogPositions(applied, hint.floor) >= 0) return;
+        throw GroupError.create(ErrorNumber.Signal, `vr_floor applied=${formatPosition(applied)}`);
+    }
+
+    private record(
+        kind: "read" | "write" | "begin" | "statement" | "commit" | "rollback",
+        sql: string,
+        at: string,
+        requestId?: string,
+        isRead = false,
+        transaction = this.transaction?.id,
+    ): void {
+        const role = this.upstream.member.isPrimary ? "primary" : "replica";
+        this.upstream.record.add({ kind, connection: this.connection, transaction, requestId, sql, role, at }, isRead);
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupStore.ts
@@ -0,0 +1,68 @@
+import { GroupOperation } from "./groupOperation";
+import { OrderRow } from "./orderRow";
+
+/** The tables of a stand-in: append-only `orders` and the counters of `stock`. */
+export class GroupStore {
+    private readonly orders: OrderRow[] = [];
+    private readonly ordersByRef = new Map<string, OrderRow[]>();
+    private readonly ordersByFranchisee = new Map<string, OrderRow[]>();
+    private readonly stock = new Map<string, number>();
+    private lastOrderId = 0;
+
+    private constructor(private readonly initialItems: number, private readonly initialQuantity: number) {
+        this.clear();
+    }
+
+    /** Makes a store whose `stock` has the items `item1`, `item2` and so on. */
+    public static create(initialItems: number, initialQuantity: number): GroupStore {
+        return new GroupStore(initialItems, initialQuantity);
+    }
+
+    public clear(): void {
+        this.orders.length = 0;
+        this.ordersByRef.clear();
+        this.ordersByFranchisee.clear();
+        this.stock.clear();
+        this.lastOrderId = 0;
+        for (let index = 1; index <= this.initialItems; index++) this.stock.set(`item${index}`, this.initialQuantity);
+    }
+
+    /** Reserves the id of an order that is inserted later. Gaps are allowed, as in any database. */
+    public reserveOrderId(): number {
+        return ++this.lastOrderId;
+    }
+
+    public apply(operation: GroupOperation): void {
+        if (operation.kind === "insertOrder") this.insertOrder(operation);
+        else if (operation.kind === "addStock") this.stock.set(operation.item, (this.stock.get(operation.item) ?? 0) + operation.quantity);
+        else this.stock.set(operation.item, operation.quantity);
+    }
+
+    public findQuantity(item: string): number | undefined {
+        return this.stock.get(item);
+    }
+
+    public get stockRows(): readonly (readonly [string, number])[] {
+        return [...this.stock];
+    }
+
+    /** Returns orders with the given value in the column, oldest first; all orders if no column is given. */
+    public findOrders(column?: "ref" | "franchisee", value = ""): readonly OrderRow[] {
+        if (column === "ref") return this.ordersByRef.get(value) ?? [];
+        if (column === "franchisee") return this.ordersByFranchisee.get(value) ?? [];
+        return this.orders;
+    }
+
+    private insertOrder(row: OrderRow): void {
+        this.lastOrderId = Math.max(this.lastOrderId, row.id);
+        this.orders.push(row);
+        this.addToIndex(this.ordersByRef, row.ref, row);
+        this.addToIndex(this.ordersByFranchisee, row.franchisee, row);
+    }
+
+    private addToIndex(index: Map<string, OrderRow[]>, key: string, row: OrderRow): void {
+        const rows = index.get(key);
+        if (rows === undefined) index.set(key, [row]);
+        else rows.push(row);
+    }
+}
--- /dev/null
+++ b/packages/standins/src/groupUpstream.ts
@@ -0,0 +1,61 @@
+import { GroupFaults } from "./groupFaults";
+import { GroupMember } from "./groupMember";
+import { GroupOptions } from "./groupOptions";
+import { GroupRecord } from "./groupRecord";
+import { GroupStore } from "./groupStore";
+import { Replication } from "./replication";
+import { SlotPool } from "./slotPool";
+
+/** The quantity of every item at the start. */
+const initialQuantity = 1_000_000;
+
+/** One upstream of a database group with its faults and its record. */
+export class GroupUpstream {
+    public readonly member: GroupMember;
+    public readonly replication: Replication;
+    public readonly slots: SlotPool;
+    public readonly record = GroupRecord.create();
+    private currentFaults: GroupFaults;
+
+    private constructor(public readonly options: GroupOptions) {
+        this.member = GroupMember.create(options.id, GroupStore.create(options.items, initialQuantity), options.applyLagMs);
+        this.replication = Replication.create(this.member);
+        this.slots = SlotPool.create(options.slots);
+        this.currentFaults = {
+            applyLagMs: options.applyLagMs,
+            statementMs: options.statementMs,
+            isolatedFromPeers: false,
+            isolatedFromClients: false,
+            loseReplies: 0,
+            leaving: false,
+        };
+        if (options.primary !== undefined) this.startInFirstTerm(options.primary);
+    }
+
+    public static create(options: GroupOptions): GroupUpstream {
+        return new GroupUpstream(options);
+    }
+
+    public get faults(): GroupFaults {
+        return this.currentFaults;
+    }
+
+    public setFaults(changes: Partial<GroupFaults>): void {
+        this.currentFaults = { ...this.currentFaults, ...changes };
+        this.member.setApplyLag(this.currentFaults.applyLagMs);
+        this.replication.setIsolated(this.currentFaults.isolatedFromPeers);
+    }
+
+    /** Whether the reply to the write that was just executed is to be lost. Uses up one of `loseReplies`. */
+    public takeLostReply(): boolean {
+        if (this.currentFaults.loseReplies <= 0) return false;
+        this.currentFaults = { ...this.currentFaults, loseReplies: this.currentFaults.loseReplies - 1 };
+        return true;
+    }
+
+    private startInFirstTerm(primary: string): void {
+        this.member.acceptTerm(1);
+        if (primary === this.options.id) this.member.promote(1);
+        else this.member.follow(1, primary);
+    }
+}
--- /dev/null
+++ b/packages/standins/src/okPacket.ts
@@ -0,0 +1,33 @@
+const headerLength = 4;
+
+function encodeNumber(value: number): Buffer {
+    if (value < 251) return Buffer.from([value]);
+    const bytes = Buffer.alloc(9);
+    bytes[0] = 0xfe;
+    bytes.writeBigUInt64LE(BigInt(value), 1);
+    return bytes;
+}
+
+/** An OK packet with its `info` text, for `writePacket` of `mysql2`, whose own OK packet has no room for the text. */
+export class OkPacket {
+    public readonly buffer: Buffer;
+
+    private constructor(affectedRows: number, insertId: number, info: string) {
+        const statusAndWarnings = Buffer.from([2, 0, 0, 0]);
+        const header = Buffer.alloc(headerLength);
+        this.buffer = Buffer.concat([header, Buffer.from([0]), encodeNumber(affectedRows), encodeNumber(insertId), statusAndWarnings, Buffer.from(info)]);
+    }
+
+    public static create(affectedRows: number, insertId: number, info: string): OkPacket {
+        return new OkPacket(affectedRows, insertId, info);
+    }
+
+    public length(): number {
+        return this.buffer.length;
+    }
+
+    public writeHeader(sequenceId: number): void {
+        this.buffer.writeUIntLE(this.buffer.length - headerLength, 0, 3);
+        this.buffer[3] = sequenceId;
+    }
+}
--- /dev/null
+++ b/packages/standins/src/planWrite.ts
@@ -0,0 +1,49 @@
+import { GroupOperation } from "./groupOperation";
+import { GroupStatement } from "./groupStatement";
+import { GroupStore } from "./groupStore";
+
+type Write = GroupStatement & { kind: "insertOrder" | "insertStock" | "addStock" | "setStock"; };
+
+interface WritePlan {
+    readonly operations: readonly GroupOperation[];
+    readonly affectedRows: number;
+    readonly insertId: number;
+}
+
+const nothing: WritePlan = { operations: [], affectedRows: 0, insertId: 0 };
+
+function planInsertOrder(values: Readonly<Record<string, string | number | undefined>>, store: GroupStore): WritePlan {
+    const id = values["id"] === undefined ? store.reserveOrderId() : Number(values["id"]);
+    const operation: GroupOperation = {
+        kind: "insertOrder",
+        id,
+        ref: String(values["ref"] ?? ""),
+        franchisee: String(values["franchisee"] ?? ""),
+        item: String(values["item"] ?? ""),
+        quantity: Number(values["quantity"] ?? 0),
+        note: values["note"] === undefined ? undefined : String(values["note"]),
+    };
+    return { operations: [operation], affectedRows: 1, insertId: id };
+}
+
+function findQuantity(item: string, store: GroupStore, pending: readonly GroupOperation[]): number | undefined {
+    let quantity = store.findQuantity(item);
+    for (const operation of pending) {
+        if (operation.kind === "insertOrder" || operation.item !== item) continue;
+        quantity = operation.kind === "setStock" ? operation.quantity : (quantity ?? 0) + operation.quantity;
+    }
+    return quantity;
+}
+
+/** Works out what a write changes, given the tables and the operations of its own open transaction. */
+export function planWrite(statement: Write, store: GroupStore, pending: readonly GroupOperation[]): WritePlan {
+    if (statement.kind === "insertOrder") return planInsertOrder(statement.values, store);
+    if (statement.kind === "insertStock") {
+        const { item, quantity } = statement.values;
+        return { operations: [{ kind: "setStock", item: String(item ?? ""), quantity: Number(quantity ?? 0) }], affectedRows: 1, insertId: 0 };
+    }
+    const quantity = findQuantity(statement.item, store, pending);
+    if (quantity === undefined) return nothing;
+    if (statement.kind === "addStock" && statement.atLeast !== undefined && quantity < statement.atLeast) return nothing;
+    return { operations: [{ kind: statement.kind, item: statement.item, quantity: statement.quantity }], affectedRows: 1, insertId: 0 };
+}
--- /dev/null
+++ b/packages/standins/src/selectRows.ts
@@ -0,0 +1,42 @@
+import { GroupOperation } from "./groupOperation";
+import { GroupStatement } from "./groupStatement";
+import { GroupStore } from "./groupStore";
+import { OrderRow } from "./orderRow";
+
+type Select = GroupStatement & { kind: "select"; };
+type Row = Readonly<Record<string, string | number | undefined>>;
+
+function findOrders(statement: Select, store: GroupStore, pending: readonly GroupOperation[]): readonly Row[] {
+    const where = statement.where;
+    const own = pending.filter((operation): operation is GroupOperation & OrderRow => operation.kind === "insertOrder");
+    const value = where?.value === undefined ? undefined : String(where.value);
+    const column = where?.column as "ref" | "franchisee" | "item" | undefined;
+    if (column === undefined) return [...store.findOrders(), ...own] as unknown as readonly Row[];
+    const stored = column === "item" ? store.findOrders().filter(row => row.item === value) : store.findOrders(column, value);
+    return [...stored, ...own.filter(row => row[column] === value)] as unknown as readonly Row[];
+}
+
+function findStock(statement: Select, store: GroupStore, pending: readonly GroupOperation[]): readonly Row[] {
+    const applyPending = (item: string, start: number): number =>
+        pending.reduce((sum, operation) => {
+            if (operation.kind === "insertOrder" || operation.item !== item) return sum;
+            return operation.kind === "setStock" ? operation.quantity : sum + operation.quantity;
+        }, start);
+    if (statement.where === undefined) return store.stockRows.map(([item, quantity]) => ({ item, quantity: applyPending(item, quantity) }));
+    const item = String(statement.where.value);
+    const quantity = store.findQuantity(item);
+    return quantity === undefined ? [] : [{ item, quantity: applyPending(item, quantity) }];
+}
+
+/** Executes a SELECT on the applied state and the operations of its own open transaction. */
+export function selectRows(
+    statement: Select,
+    store: GroupStore,
+    pending: readonly GroupOperation[],
+): { readonly columns: readonly string[]; readonly rows: readonly (readonly (string | number | undefined)[])[]; } {
+    const found = statement.table === "orders" ? findOrders(statement, store, pending) : findStock(statement, store, pending);
+    if (statement.count) return { columns: ["COUNT(*)"], rows: [[found.length]] };
+    const ordered = statement.descending ? [...found].reverse() : found;
+    const limited = ordered.slice(0, statement.limit ?? ordered.length);
+    return { columns: statement.columns, rows: limited.map(row => statement.columns.map(name => row[name])) };
+}
