Add upstream connections and the group interface over mysql2

Failures carry what is known of the statement: not handed over and rejected statements did not run, lost replies are unknown.

--- /dev/null
+++ b/packages/bench/src/programProcess.ts
@@ -0,0 +1,71 @@
+import { fromPromise } from "@vanillarouter/base/fromPromise";
+import { Operation } from "@vanillarouter/base/operation";
+import { ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+
+/** Time for a program to print its ready line, in milliseconds. */
+const readyTimeoutMs = 20_000;
+/** Time for a program to end after SIGTERM before it is killed, in milliseconds. */
+const stopTimeoutMs = 15_000;
+const maxKeptOutput = 20_000;
+
+/** One process of a program of this project, started by a tool or a test and ended by its id. */
+export class ProgramProcess {
+    private stdout = "";
+    private stderr = "";
+    private readonly exited: Promise<unknown>;
+
+    private constructor(public readonly name: string, private readonly child: ChildProcess) {
+        child.stdout!.setEncoding("utf8").on("data", (text: string) => this.stdout = (this.stdout + text).slice(-maxKeptOutput));
+        child.stderr!.setEncoding("utf8").on("data", (text: string) => this.stderr = (this.stderr + text).slice(-maxKeptOutput));
+        this.exited = once(child, "exit");
+    }
+
+    /** Starts `node FILE ARGS`. */
+    public static create(name: string, file: string, args: readonly string[]): ProgramProcess {
+        const child = spawn(process.execPath, ["--enable-source-maps", file, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+        return new ProgramProcess(name, child);
+    }
+
+    public get pid(): number {
+        return this.child.pid!;
+    }
+
+    public get isRunning(): boolean {
+        return this.child.exitCode === null && this.child.signalCode === null;
+    }
+
+    /** The end of what the program wrote to standard error. */
+    public get log(): string {
+        return this.stderr;
+    }
+
+    /** Waits for a line of standard output that begins with `ready` and returns the rest of it. Throws if none comes. */
+    public *waitReady(): Operation<string> {
+        const deadline = performance.now() + readyTimeoutMs;
+        while (performance.now() < deadline) {
+            const match = /^ready (.*)$/m.exec(this.stdout);
+            if (match !== null) return match[1]!;
+            if (!this.isRunning) throw new Error(`${this.name} ended with code ${this.child.exitCode}: ${this.stderr}`);
+            yield* fromPromise(new Promise(resolve => setTimeout(resolve, 20)));
+        }
+        throw new Error(`${this.name} did not become ready: ${this.stderr}`);
+    }
+
+    /** Sends a signal to this process only. */
+    public kill(signal: NodeJS.Signals): void {
+        if (this.isRunning) this.child.kill(signal);
+    }
+
+    /** Ends the process: SIGTERM, then SIGKILL if it takes too long. Returns its exit code; undefined if it was killed. */
+    public *stop(): Operation<number | undefined> {
+        if (this.isRunning) {
+            this.kill("SIGCONT");
+            this.kill("SIGTERM");
+            const timer = setTimeout(() => this.kill("SIGKILL"), stopTimeoutMs);
+            yield* fromPromise(this.exited);
+            clearTimeout(timer);
+        }
+        return this.child.exitCode ?? undefined;
+    }
+}
--- /dev/null
+++ b/packages/upstream/src/controlLink.ts
@@ -0,0 +1,86 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Task } from "@vanillarouter/base/task";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { MysqlClient } from "./mysqlClient";
+import { QueryError } from "./queryError";
+import { UpstreamCredentials } from "./upstreamCredentials";
+
+const connectTimeoutMs = 1000;
+
+/**
+ * One connection for calls to an upstream, opened at the first call and reopened after a failure. A call that times out
+ * closes it, because a connection may have become silent while new ones work.
+ */
+export class ControlLink {
+    private client: MysqlClient | undefined;
+    private opening: Task<Result<MysqlClient, Failure>> | undefined;
+    private closed = false;
+
+    private constructor(
+        private readonly upstream: UpstreamSettings,
+        private readonly credentials: UpstreamCredentials,
+        private readonly clock: Clock,
+    ) {}
+
+    public static create(upstream: UpstreamSettings, credentials: UpstreamCredentials, clock: Clock): ControlLink {
+        return new ControlLink(upstream, credentials, clock);
+    }
+
+    /** Runs one call, including the opening of the connection, within `timeoutMs` milliseconds. */
+    public *call(sql: string, timeoutMs: number): Operation<Result<StatementResult, Failure>> {
+        const result = yield* withTimeout(this.clock, timeoutMs, this.connectAndCall(sql));
+        return result ?? Err(createFailure(Diagnostics.callTimedOut, RunOutcome.Unknown, this.upstream.id, sql.slice(0, 40), timeoutMs));
+    }
+
+    public close(): void {
+        this.closed = true;
+        this.opening?.cancel();
+        this.client?.close();
+    }
+
+    private *connectAndCall(sql: string): Operation<Result<StatementResult, Failure>> {
+        const client = yield* this.obtainClient();
+        if (client.err) return client;
+        const result = yield* client.val.query(sql);
+        return result.err ? Err(this.describeError(result.val, sql)) : Ok(result.val);
+    }
+
+    private *obtainClient(): Operation<Result<MysqlClient, Failure>> {
+        if (this.closed) return Err(createFailure(Diagnostics.connectionClosed, RunOutcome.DidNotRun, this.upstream.id));
+        if (this.client?.isOpen === true) return Ok(this.client);
+        this.opening ??= this.startOpening();
+        return yield* this.opening.join();
+    }
+
+    private startOpening(): Task<Result<MysqlClient, Failure>> {
+        const task = Task.start(MysqlClient.connect(this.upstream, this.credentials, this.clock, connectTimeoutMs));
+        task.onSettled(() => {
+            this.opening = undefined;
+            task.deliver(result => this.keep(result), () => {});
+        });
+        return task;
+    }
+
+    private keep(result: Result<MysqlClient, Failure>): void {
+        if (result.err) return;
+        this.client = result.val;
+        if (this.closed) result.val.close();
+    }
+
+    private describeError(err: QueryError, sql: string): Failure {
+        if (!err.handedOver) return createFailure(Diagnostics.connectionClosed, RunOutcome.DidNotRun, this.upstream.id);
+        if (!err.rejected) return createFailure(RoutingDiagnostics.connectionLost, RunOutcome.Unknown, this.upstream.id, err.message);
+        const accepted = /^vr_term accepted=(\d+)/.exec(err.message)?.[1];
+        const details = { errno: err.errno, acceptedTerm: accepted === undefined ? undefined : Number(accepted) };
+        return { ...createFailure(Diagnostics.callRejected, RunOutcome.DidNotRun, this.upstream.id, sql.slice(0, 40), err.message), details };
+    }
+}
--- /dev/null
+++ b/packages/upstream/src/queryError.ts
@@ -0,0 +1,10 @@
+/** Why a statement got no result. */
+export interface QueryError {
+    /** Whether the upstream answered with an error, so that the connection stays usable. */
+    readonly rejected: boolean;
+    /** Whether the statement may have reached the upstream. */
+    readonly handedOver: boolean;
+    /** MySQL error number of a rejection. */
+    readonly errno: number;
+    readonly message: string;
+}
