Resolve refused caller retries from the group's record

Cause: a caller that repeats a request id after an unknown outcome could hear "did not run" because the repetition was shed, although the first attempt ran. Ruled out: resolving every refused write with a caller's id, which would add a cancellation write to the primary for each shed request of an overload. Conclusion: a caller marks a repetition as a retry; its refusal is reported only after the group has recorded the id as cancelled.

--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -31,6 +31,7 @@
     linkFailed: message(1222, "link to VM {0} failed: {1}", "Retried by the entry VM if the outcome allows."),
     noConfiguration: message(1223, "this VM has no configuration yet", "Wait until it has one, or connect to another VM."),
     statementRejected: message(1224, "upstream {0} rejected the statement: {1}", "Correct the statement."),
+    alreadyRan: message(1225, "request {0} already ran", "Do not send it again; read the data to see its effect."),
     floorNotConfirmed: message(
         1230,
         "the session's floor in {0} could not be confirmed in time",
--- a/packages/routing/src/entrySession.ts
+++ b/packages/routing/src/entrySession.ts
@@ -134,7 +134,12 @@
 
     private *begin(request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
         const begun = yield* CallerTransaction.begin(this.context, this.caller, request);
-        if (begun.err) return begun;
+        if (begun.err) {
+            if (!this.writes.leavesRetryOpen(request, begun.val)) return begun;
+            // An answer here would let the caller send the statements of the transaction again, outside of one.
+            const resolved = yield* this.writes.resolve(request, request.req.requestId);
+            return resolved.err ? resolved : refuse(createFailure(Diagnostics.alreadyRan, RunOutcome.Ran, request.req.requestId));
+        }
         this.transaction = begun.val;
         return Ok({ result: emptyResult, upstream: begun.val.upstream });
     }
--- a/packages/routing/src/entryWrites.ts
+++ b/packages/routing/src/entryWrites.ts
@@ -33,10 +33,16 @@
     public *execute(request: AdmittedRequest): Operation<Result<OwnerAnswer, Failure>> {
         const reserveMs = Math.min(longestReserveMs, reserveShare * (request.deadline - this.context.clock.now()));
         const { result, isOpen } = yield* this.caller.call(request, reserveMs, true, (primary, timeoutMs) => this.send(request, primary, timeoutMs));
-        if (result.ok || !isOpen) return result;
+        if (result.ok || !(isOpen || this.leavesRetryOpen(request, result.val))) return result;
         return yield* this.resolve(request, request.req.requestId);
     }
 
+    /** Whether a refusal says that this attempt did not run, but nothing about an earlier attempt under the same id. */
+    public leavesRetryOpen(request: AdmittedRequest, failure: Failure): boolean {
+        const isRefusal = failure.outcome === RunOutcome.DidNotRun && failure.code !== Diagnostics.requestCancelled.code;
+        return request.req.isRetry === true && isRefusal;
+    }
+
     /** Asks the group after the outcome of a request until it is known or the deadline is reached. */
     public *resolve(request: AdmittedRequest, requestId: string): Operation<Result<OwnerAnswer, Failure>> {
         const { clock, finder, metrics } = this.context;
--- a/packages/routing/src/statementRequest.ts
+++ b/packages/routing/src/statementRequest.ts
@@ -15,4 +15,9 @@
     readonly timeoutMs?: number;
     /** Whether the caller allows it to run more than once. */
     readonly repeatable: boolean;
+    /**
+     * Whether the caller has sent this request id before. An earlier attempt may have run, so a refusal of this attempt
+     * is reported as "did not run" only after the group has recorded the id as cancelled.
+     */
+    readonly isRetry?: boolean;
 }
