--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -15,7 +15,7 @@
 import * as assert from "node:assert/strict";
 import { createHash } from "node:crypto";
 import { connect } from "node:net";
-import { after, afterEach, before, beforeEach, test } from "node:test";
+import { after, afterEach, before, beforeEach, mock, test } from "node:test";
 import { Err, Ok } from "ts-results";
 import { CallerListener } from "./callerListener";
 import { createTextResult } from "./createTextResult";
@@ -37,7 +37,6 @@
 let port = 0;
 const opened: Connection[] = [];
 const printed: unknown[] = [];
-const originals = { error: console.error, log: console.log, trace: console.trace };
 
 function openSession(): CallerSession {
     const counted = closed;
@@ -93,9 +92,9 @@
 }
 
 before(() => {
-    for (const name of ["error", "log", "trace"] as const) console[name] = (...args) => printed.push(args);
+    for (const name of ["error", "log", "trace"] as const) mock.method(console, name, (...args: unknown[]) => printed.push(args));
 });
-after(() => Object.assign(console, originals));
+after(() => mock.restoreAll());
 beforeEach(async () => {
     requests.length = 0;
     attached.length = 0;
--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -31,4 +31,22 @@
     linkFailed: message(1222, "link to VM {0} failed: {1}", "Retried by the entry VM if the outcome allows."),
     noConfiguration: message(1223, "this VM has no configuration yet", "Wait until it has one, or connect to another VM."),
     statementRejected: message(1224, "upstream {0} rejected the statement: {1}", "Correct the statement."),
+    alreadyRan: message(1225, "request {0} already ran", "Do not send it again; read the data to see its effect."),
+    floorNotConfirmed: message(
+        1230,
+        "the session's floor in {0} could not be confirmed in time",
+        "Pass the session token, or retry once the group's primary is reachable.",
+    ),
+    implicitCommit: message(1231, "{0} would commit the open transaction implicitly", "End the transaction before this statement."),
+    otherGroupInTransaction: message(
+        1232,
+        "a transaction is open on database {0}; {1} cannot take part in it",
+        "End the transaction before using another database.",
+    ),
+    transactionAborted: message(1233, "transaction {0} was rolled back after a failure", "Send ROLLBACK, then start the transaction again."),
+    positionNotConfirmed: message(1260, "the term of upstream {0} could not be confirmed", "Retried; check that a majority of the group is reachable."),
+    draining: message(1261, "the owner of upstream {0} is handing it over", "Retried by the entry VM with the next owner."),
+    transactionLimit: message(1262, "upstream {0} has {1} open transactions, which is its limit", "Retry later, or end transactions sooner."),
+    sequenceMismatch: message(1263, "transaction {0} expected statement {1} and got {2}", "Start the transaction again."),
+    noConnection: message(1264, "no connection to upstream {0} could be opened in time", "Check that the upstream is reachable and its connection limit."),
 } as const;
--- /dev/null
+++ b/packages/vm/src/links.test.ts
@@ -0,0 +1,202 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { SystemClock } from "@vanillarouter/base/systemClock";
+import { Task } from "@vanillarouter/base/task";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
+import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
+import { StatementKind } from "@vanillarouter/routing/statementKind";
+import * as assert from "node:assert/strict";
+import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
+import { test } from "node:test";
+import { Err, Ok, Result } from "ts-results";
+import { createTestCertificates } from "./createTestCertificates";
+import { Diagnostics } from "./diagnostics";
+import { LinkPool } from "./linkPool";
+import { LinkServer } from "./linkServer";
+import { PeerServices } from "./peerServices";
+import { TlsSettings } from "./tlsSettings";
+
+const clock = SystemClock.create();
+const tls = createTestCertificates();
+const load = { upstream: "u1", queueDelayMs: 0, applied: { term: 1, position: 1 } };
+
+function run<T>(operation: Operation<T>): Promise<T> {
+    return Task.start(operation).toPromise();
+}
+
+/** An owner that records what it executed. The statement `wait N` takes N milliseconds. */
+class RecordingOwner implements Partial<OwnerLink> {
+    public readonly executed: string[] = [];
+    public readonly rolledBack: string[] = [];
+
+    private constructor() {}
+
+    public static create(): RecordingOwner {
+        return new RecordingOwner();
+    }
+
+    public *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        this.executed.push(req.requestId);
+        if (req.sql.startsWith("wait ")) yield* sleep(clock, Number(req.sql.slice(5)));
+        if (req.sql === "refuse") return Err(createFailure(RoutingDiagnostics.shareExceeded, RunOutcome.DidNotRun, req.className));
+        const columns = [{ name: "a", type: 253, flags: 0, length: 1, characterSet: 33 }];
+        const result = { columns, rows: [[req.sql, undefined]], affectedRows: 0, insertId: 0, info: "" };
+        return Ok({ requestId: req.requestId, result, at: { term: 1, position: 1 }, load });
+    }
+
+    public *begin(): Operation<Result<void, Failure>> {
+        return Ok.EMPTY;
+    }
+
+    public *endTransaction(req: { readonly transactionId: string; readonly commit: boolean; }): Operation<Result<OwnerAnswer, Failure>> {
+        if (!req.commit) this.rolledBack.push(req.transactionId);
+        return Err(createFailure(RoutingDiagnostics.transactionLost, RunOutcome.DidNotRun, req.transactionId, "u1"));
+    }
+}
+
+function createRequest(requestId: string, sql: string, kind: OwnerRequest["kind"], timeoutMs = 2_000): OwnerRequest {
+    return { requestId, upstream: "u1", group: "g1", className: "orders", rank: Rank.Urgent, franchisee: "f1", kind, sql, timeoutMs, repeatable: false };
+}
+
+/** Passes bytes on until it goes silent, as an intermediary that lost the state of a connection does. */
+class Intermediary {
+    public silent = false;
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(private readonly server: Server) {}
+
+    public static async create(targetPort: number): Promise<Intermediary> {
+        const server = createServer();
+        const intermediary = new Intermediary(server);
+        server.on("connection", client => intermediary.join(client, connect(targetPort, "127.0.0.1")));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return intermediary;
+    }
+
+    public get port(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    public close(): void {
+        for (const socket of this.sockets) socket.destroy();
+        this.server.close();
+    }
+
+    private join(client: Socket, upstream: Socket): void {
+        // Connections opened while it is silent work; only those from before stay silent.
+        const wasSilent = this.silent;
+        for (const [from, to] of [[client, upstream], [upstream, client]] as const) {
+            this.sockets.add(from);
+            from.on("data", data => (!this.silent || wasSilent) && to.write(data));
+            from.on("error", () => to.destroy());
+            from.on("close", () => to.destroy());
+        }
+    }
+}
+
+interface Fixture {
+    readonly owner: RecordingOwner;
+    readonly server: LinkServer;
+    readonly pool: LinkPool;
+    readonly intermediary: Intermediary;
+    readonly link: OwnerLink;
+    readonly vm: VmDescription;
+}
+
+async function withLink(body: (fixture: Fixture) => Promise<void>, clientTls: TlsSettings = tls): Promise<void> {
+    const owner = RecordingOwner.create();
+    const services = { owner: owner as unknown as OwnerLink } as PeerServices;
+    const server = LinkServer.create({ host: "127.0.0.1", port: 0, tls, services }).unwrap();
+    const port = (await run(server.listen())).unwrap();
+    const intermediary = await Intermediary.create(port);
+    const pool = LinkPool.create({ vmId: "client", clock, tls: clientTls });
+    const vm = { id: "vm1", zone: "z1", host: "127.0.0.1", heartbeatPort: 1, linkPort: intermediary.port, incarnation: 1, leaving: false };
+    try {
+        await body({ owner, server, pool, intermediary, link: pool.openOwner(vm), vm });
+    }
+    finally {
+        pool.close();
+        intermediary.close();
+        server.close();
+    }
+}
+
+test("a statement goes over one link with SQL NULL and failures intact (guards against null rows and lost outcomes)", () =>
+    withLink(async ({ link, pool }) => {
+        const answers = await Promise.all(["a", "b", "c"].map(id => run(link.execute(createRequest(id, `select ${id}`, StatementKind.Read)))));
+        assert.deepEqual(answers.map(answer => answer.unwrap().result.rows[0]), [["select a", undefined], ["select b", undefined], ["select c", undefined]]);
+        assert.equal(pool.size, 1);
+        const refused = await run(link.execute(createRequest("d", "refuse", StatementKind.Write)));
+        assert.equal(refused.err && refused.val.code, RoutingDiagnostics.shareExceeded.code);
+        assert.equal(refused.err && refused.val.outcome, RunOutcome.DidNotRun);
+    }));
+
+test("a peer whose certificate the cluster's authority did not sign is refused (guards against strangers on the link)", () =>
+    withLink(async ({ link, owner }) => {
+        const answer = await run(link.execute(createRequest("a", "select", StatementKind.Write)));
+        assert.equal(answer.err && answer.val.code, Diagnostics.linkNotOpened.code);
+        assert.equal(answer.err && answer.val.outcome, RunOutcome.DidNotRun);
+        assert.deepEqual(owner.executed, []);
+    }, { ...createTestCertificates(), authority: tls.authority }));
+
+test("P5: a write that was sent when the link broke is unknown, one that found no link did not run (guards against a false did-not-run)", () =>
+    withLink(async ({ link, intermediary, owner }) => {
+        const sent = run(link.execute(createRequest("sent", "wait 5000", StatementKind.Write, 4_000)));
+        const read = run(link.execute(createRequest("read", "wait 5000", StatementKind.Read, 4_000)));
+        while (owner.executed.length < 2) await run(sleep(clock, 5));
+        intermediary.close();
+        const outcomes = (await Promise.all([sent, read])).map(answer => answer.err && answer.val.outcome);
+        assert.deepEqual(outcomes, [RunOutcome.Unknown, RunOutcome.DidNotRun]);
+        const unsent = await run(link.execute(createRequest("unsent", "insert", StatementKind.Write)));
+        assert.equal(unsent.err && unsent.val.outcome, RunOutcome.DidNotRun);
+        assert.equal(owner.executed.includes("unsent"), false);
+    }));
+
+test("P4: a reply after the deadline is dropped and does not answer the next request (guards against answers to another request)", () =>
+    withLink(async ({ link }) => {
+        const late = await run(link.execute(createRequest("late", "wait 150", StatementKind.Write, 50)));
+        assert.equal(late.err && late.val.code, Diagnostics.linkTimedOut.code);
+        assert.equal(late.err && late.val.outcome, RunOutcome.Unknown);
+        const next = await run(link.execute(createRequest("next", "wait 200", StatementKind.Read)));
+        assert.equal(next.unwrap().requestId, "next");
+    }));
+
+test("a silent link is replaced, and new calls work within 4 s (guards against calls that time out on a dead connection for ever)", () =>
+    withLink(async ({ link, intermediary }) => {
+        (await run(link.execute(createRequest("first", "select", StatementKind.Read)))).unwrap();
+        intermediary.silent = true;
+        const startedAt = clock.now();
+        const lost = await run(link.execute(createRequest("lost", "insert", StatementKind.Write, 10_000)));
+        assert.equal(lost.err && lost.val.code, Diagnostics.linkBroken.code);
+        assert.equal(lost.err && lost.val.outcome, RunOutcome.Unknown);
+        assert.ok(clock.now() - startedAt < 4_000);
+        (await run(link.execute(createRequest("again", "select", StatementKind.Read)))).unwrap();
+    }));
+
+test("a slow statement on a live link is not taken for silence (guards against killing links under load)", () =>
+    withLink(async ({ link }) => {
+        (await run(link.execute(createRequest("slow", "wait 2500", StatementKind.Write, 10_000)))).unwrap();
+    }));
+
+test("transactions of a link that ends are rolled back (guards against slots held for ever)", () =>
+    withLink(async ({ link, pool, owner }) => {
+        const begin = { requestId: "t1", upstream: "u1", group: "g1", className: "orders", rank: Rank.Urgent, franchisee: "f1", term: 1, timeoutMs: 1_000 };
+        (await run(link.begin(begin))).unwrap();
+        pool.close();
+        for (let wait = 0; wait < 100 && owner.rolledBack.length === 0; wait++) await run(sleep(clock, 10));
+        assert.deepEqual(owner.rolledBack, ["t1"]);
+    }));
+
+test("a malformed request is refused as not run and the link goes on (guards against crashes by bad input)", () =>
+    withLink(async ({ link }) => {
+        const bad = await run(link.execute({ ...createRequest("bad", "x", StatementKind.Write), rank: "none" as Rank }));
+        assert.equal(bad.err && bad.val.code, Diagnostics.requestMalformed.code);
+        (await run(link.execute(createRequest("good", "select", StatementKind.Read)))).unwrap();
+    }));
