--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -2,7 +2,6 @@
 import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { createLogger } from "@vanillarouter/base/createLogger";
-import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
 import { Rank } from "@vanillarouter/base/rank";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
@@ -105,7 +104,6 @@
         entry: { openSession },
         clock: SystemClock.create(),
         logger: createLogger("test", "fatal"),
-        latencies: LatencyMetrics.create(),
         counters: CounterMetrics.create(),
         limits: { maxConnections: 5, maxStatementBytes, loginTimeoutMs: 300 },
     });
--- a/packages/caller/src/callerServices.ts
+++ b/packages/caller/src/callerServices.ts
@@ -1,7 +1,6 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
 import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
-import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
 import * as bunyan from "bunyan";
 import { CallerLimits } from "./callerLimits";
 import { SessionFactory } from "./sessionFactory";
@@ -12,7 +11,6 @@
     readonly entry: SessionFactory;
     readonly clock: Clock;
     readonly logger: bunyan;
-    readonly latencies: LatencyMetrics;
     readonly counters: CounterMetrics;
     readonly limits: CallerLimits;
 }
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -134,9 +134,7 @@
         if (attached.err) return attached;
         if (this.state.database === "") return Err(createFailure(Diagnostics.noDatabaseSelected, RunOutcome.DidNotRun));
         const req = this.createRequest(hint, sql, command.arrivedAt);
-        const answer = yield* this.session.execute(req);
-        this.recordAnswer(req, answer);
-        return answer;
+        return yield* this.session.execute(req);
     }
 
     private answerLocally(statementHint: Hint, sql: string): Result<StatementAnswer, Failure> | undefined {
@@ -166,15 +164,6 @@
         };
     }
 
-    private recordAnswer(req: StatementRequest, answer: Result<StatementAnswer, Failure>): void {
-        const workClass = this.services.configuration.current?.classes.get(req.className);
-        const labels = workClass === undefined ? "class=\"\",rank=\"\"" : `class="${workClass.name}",rank="${workClass.rank}"`;
-        this.services.latencies.record(labels, this.services.clock.now() - req.arrivedAt);
-        const outcome = answer.ok ? "answered" : answer.val.outcome;
-        this.services.counters.add("vr_statements_total", `${labels},outcome="${outcome}"`);
-        if (answer.err) this.services.counters.add("vr_statement_failures_total", `code="${answer.val.code}"`);
-    }
-
     private writeAnswer(command: CallerCommand, answer: Result<StatementAnswer, Failure>): void {
         const { connection } = this;
         if (!connection.stream.writable) return;
@@ -188,6 +177,7 @@
     }
 
     private writeFailure(failure: Failure): void {
+        this.services.counters.add("vr_caller_failures_total", `code="${failure.code}",outcome="${failure.outcome}"`);
         const errorNumber = mysqlErrorNumbers.byCode.get(failure.code) ?? mysqlErrorNumbers.unknownError;
         this.connection.writePacket(encodeErrorPacket(errorNumber, formatCallerError(failure)));
     }
--- /dev/null
+++ b/packages/operator/src/createErrorAnswer.ts
@@ -0,0 +1,32 @@
+import { Diagnostics as BaseDiagnostics } from "@vanillarouter/base/diagnostics";
+import { Failure } from "@vanillarouter/base/failure";
+import { Diagnostics as PlatformDiagnostics } from "@vanillarouter/platform/diagnostics";
+import { ApiAnswer } from "./apiAnswer";
+import { Diagnostics } from "./diagnostics";
+
+const internalErrorStatus = 500;
+const statuses: ReadonlyMap<number, number> = new Map([
+    [BaseDiagnostics.internalError.code, internalErrorStatus],
+    [Diagnostics.notAuthorized.code, 401],
+    [Diagnostics.routeNotFound.code, 404],
+    [Diagnostics.methodNotAllowed.code, 405],
+    [Diagnostics.bodyTooLarge.code, 413],
+    [Diagnostics.bodyInvalid.code, 400],
+    [Diagnostics.notServing.code, 503],
+    [Diagnostics.entryNotFound.code, 404],
+    [PlatformDiagnostics.configurationInvalid.code, 422],
+    [PlatformDiagnostics.shardTooLarge.code, 422],
+    [PlatformDiagnostics.unknownAccountClass.code, 422],
+    [PlatformDiagnostics.emptyChange.code, 422],
+    [PlatformDiagnostics.configurationConflict.code, 409],
+    [PlatformDiagnostics.storeUnreachable.code, 503],
+    [PlatformDiagnostics.storeRefused.code, 503],
+    [PlatformDiagnostics.callLimitReached.code, 503],
+    [PlatformDiagnostics.changeOutcomeUnknown.code, 504],
+]);
+
+/** Makes the answer for a failure: a status and the numbered error with its details. */
+export function createErrorAnswer(failure: Failure): ApiAnswer {
+    const { code, message, outcome, details } = failure;
+    return { status: statuses.get(code) ?? internalErrorStatus, body: { error: { code, message, outcome, details } } };
+}
--- /dev/null
+++ b/packages/operator/src/metricFamily.ts
@@ -0,0 +1,13 @@
+/** A metric with all its values, in the terms of the text format that monitoring systems scrape. */
+export interface MetricFamily {
+    readonly name: string;
+    readonly help: string;
+    readonly type: "counter" | "gauge" | "summary";
+    readonly samples: readonly {
+        /** Appended to the name, such as `_count`. */
+        readonly suffix?: string;
+        /** Labels such as `class="orders"`; empty for none. */
+        readonly labels: string;
+        readonly value: number;
+    }[];
+}
