--- /dev/null
+++ b/packages/upstream/src/failoverCoordinator.test.ts
@@ -0,0 +1,275 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Diagnostics } from "./diagnostics";
+import { FailoverCoordinator } from "./failoverCoordinator";
+import { GroupCondition } from "./groupCondition";
+import { SimulatedGroup } from "./simulatedGroup.test";
+
+type Vm = ReturnType<SimulatedGroup["createVm"]>;
+
+interface Candidate {
+    readonly vm: Vm;
+    readonly coordinator: FailoverCoordinator;
+}
+
+const medianGapTargetMs = 2000;
+const gapTargetMs = 10_000;
+const writeEveryMs = 20;
+
+function startCandidate(group: SimulatedGroup, place: number, name = `vm${place}`): Candidate {
+    const vm = group.createVm(name);
+    const peers = group.createPeers(vm);
+    const coordinator = FailoverCoordinator.create({ clock: vm, random: group.random, group: "g", peers, groups: vm, place });
+    Task.start(coordinator.run());
+    return { vm, coordinator };
+}
+
+/** Replaces a primary that does not answer by the first replica that does, without a majority. */
+function* runNaive(vm: Vm, peers: readonly GroupPeer[]): Operation<void> {
+    for (let term = 1, primary = 0;;) {
+        yield* sleep(vm, 100);
+        const status = yield* peers[primary]!.readStatus(400);
+        vm.learn({ group: "g", term, primary: peers[primary]!.upstream });
+        if (status.ok) continue;
+        for (const [index, peer] of peers.entries()) {
+            if (index === primary || (yield* peer.acceptTerm(term + 1, 400)).err) continue;
+            term++;
+            primary = index;
+            yield* peer.promote(term, 400);
+            for (const other of peers) Task.start(other.follow(term, peer.upstream, 400));
+            break;
+        }
+    }
+}
+
+/** Writes from every VM while time passes. */
+function advance(group: SimulatedGroup, vms: readonly Vm[], ms: number): void {
+    for (let passed = 0; passed < ms; passed += writeEveryMs) {
+        for (const vm of vms) group.write(vm);
+        group.clock.advance(writeEveryMs);
+    }
+}
+
+/** Returns the violations of P2: acknowledged writes that are gone, and terms in which two upstreams acknowledged. */
+function findViolations(group: SimulatedGroup): readonly string[] {
+    const kept = new Set(group.primary?.log.map(entry => entry.request));
+    const lost = group.acknowledged.filter(write => !kept.has(write.request)).map(write => `lost ${write.request} of term ${write.term}`);
+    const byTerm = new Map<number, string>();
+    const twice = group.acknowledged.filter(write => {
+        const first = byTerm.get(write.term) ?? write.primary;
+        byTerm.set(write.term, first);
+        return first !== write.primary;
+    }).map(write => `two primaries in term ${write.term}`);
+    return [...lost, ...twice];
+}
+
+/** Longest time between two acknowledged writes since `from`. */
+function findGap(group: SimulatedGroup, from: number): number {
+    const times = [from, ...group.acknowledged.map(write => write.at).filter(at => at >= from), group.clock.now()];
+    return Math.max(...times.slice(1).map((at, index) => at - times[index]!));
+}
+
+function startGroup(places: readonly number[]): { readonly group: SimulatedGroup; readonly candidates: readonly Candidate[]; readonly vms: readonly Vm[]; } {
+    const group = SimulatedGroup.create();
+    group.start(1, "u1");
+    const candidates = places.map((place, index) => startCandidate(group, place, `vm${index}`));
+    const vms = candidates.map(candidate => candidate.vm);
+    advance(group, vms, 1000);
+    return { group, candidates, vms };
+}
+
+test("a candidate that starts with nothing finds the primary and changes nothing", () => {
+    const { group, candidates } = startGroup([0, 1]);
+    assert.deepEqual(candidates.map(candidate => candidate.vm.view), [{ group: "g", term: 1, primary: "u1" }, { group: "g", term: 1, primary: "u1" }]);
+    assert.equal(group.primary?.acceptedTerm, 1);
+    assert.equal(candidates[0]!.coordinator.lastElection, undefined);
+});
+
+test("a group that never had a primary gets one in term 1", () => {
+    const group = SimulatedGroup.create();
+    const { vm, coordinator } = startCandidate(group, 0);
+    advance(group, [vm], 1000);
+    assert.equal(vm.view?.term, 1);
+    assert.equal(coordinator.lastElection?.reason, GroupCondition.NeverStarted);
+    assert.ok(group.acknowledged.length > 0);
+});
+
+for (
+    const [failure, inject] of [
+        ["dead", (group: SimulatedGroup) => void group.stopped.add("u1")],
+        ["isolated from everything", (group: SimulatedGroup) => group.separate(["u1"], ["u2", "u3", "vm0", "vm1"])],
+        ["isolated from its replicas while clients reach it", (group: SimulatedGroup) => group.separate(["u1"], ["u2", "u3"])],
+    ] as const
+) {
+    test(`a primary that is ${failure} is replaced within the target, and follows the new one when it comes back`, () => {
+        const { group, candidates, vms } = startGroup([0, 1]);
+        const failedAt = group.clock.now();
+        inject(group);
+        advance(group, vms, 5000);
+        assert.ok(findGap(group, failedAt) < medianGapTargetMs, `gap ${findGap(group, failedAt)} ms`);
+        const election = candidates[0]!.coordinator.lastElection;
+        assert.deepEqual([election?.reason, election?.previousPrimary, election?.term], [GroupCondition.PrimaryLost, "u1", 2]);
+        assert.ok(election!.detectionMs > 0 && election!.detectionMs + election!.electionMs < medianGapTargetMs);
+        group.heal();
+        advance(group, vms, 2000);
+        assert.equal(group.find("u1").primary, group.primary?.id);
+        assert.equal(group.find("u1").log.length, group.primary?.log.length);
+        assert.deepEqual(findViolations(group), []);
+    });
+}
+
+test("two primary losses in a row, with the first candidate gone, are both within the target", () => {
+    const { group, candidates, vms } = startGroup([0, 1]);
+    group.stopped.add("u1");
+    advance(group, vms, 3000);
+    group.stopped.delete("u1");
+    advance(group, vms, 1000);
+    candidates[0]!.vm.setPaused(true);
+    const failedAt = group.clock.now();
+    group.stopped.add(group.primary!.id);
+    advance(group, vms, 5000);
+    assert.ok(findGap(group, failedAt) < gapTargetMs, `gap ${findGap(group, failedAt)} ms`);
+    assert.equal(group.primary?.acceptedTerm, 3);
+    assert.deepEqual(findViolations(group), []);
+});
+
+test("a candidate that is cut off from the primary alone changes nothing, as the replicas still hear it", () => {
+    const { group, vms } = startGroup([0]);
+    group.separate(["vm0"], ["u1"]);
+    advance(group, vms, 10_000);
+    assert.equal(group.primary?.acceptedTerm, 1);
+    assert.ok(group.members.every(member => member.acceptedTerm === 1));
+});
+
+test("without a majority there is no election, and the reason is stated", () => {
+    const { group, candidates, vms } = startGroup([0]);
+    group.stopped.add("u1").add("u2");
+    advance(group, vms, 5000);
+    assert.equal(candidates[0]!.coordinator.obstacle?.code, Diagnostics.majorityUnreachable.code);
+    assert.equal(group.find("u3").acceptedTerm, 1);
+    group.stopped.delete("u2");
+    advance(group, vms, 3000);
+    assert.equal(candidates[0]!.coordinator.obstacle, undefined);
+    assert.ok(group.primary !== undefined && group.primary.acceptedTerm >= 2);
+});
+
+test("two first candidates that split the votes still agree within the target", () => {
+    const { group, candidates, vms } = startGroup([0, 0]);
+    const failedAt = group.clock.now();
+    group.stopped.add("u1");
+    group.separate(["vm0"], ["u3"]);
+    advance(group, vms, 400);
+    group.blocked.clear();
+    advance(group, vms, 6000);
+    assert.ok(findGap(group, failedAt) < gapTargetMs);
+    assert.deepEqual(candidates.map(candidate => candidate.vm.view?.primary), [group.primary?.id, group.primary?.id]);
+    assert.deepEqual(findViolations(group), []);
+});
+
+test("a candidate paused in the middle of an election cannot promote in its old term after another one won", () => {
+    const { group, candidates, vms } = startGroup([0, 1]);
+    group.stopped.add("u1");
+    while (group.find("u2").acceptedTerm < 2) group.clock.advance(0.5);
+    assert.equal(group.find("u2").primary, undefined);
+    candidates[0]!.vm.setPaused(true);
+    advance(group, vms, 4000);
+    assert.ok(group.primary!.acceptedTerm >= 3);
+    const term = group.primary!.acceptedTerm;
+    candidates[0]!.vm.setPaused(false);
+    advance(group, vms, 2000);
+    assert.equal(group.primary!.acceptedTerm, term);
+    assert.equal(candidates[0]!.vm.view?.primary, group.primary!.id);
+    assert.deepEqual(findViolations(group), []);
+});
+
+test("a leaving primary is replaced while it still works, with a short gap", () => {
+    const { group, candidates, vms } = startGroup([0, 1]);
+    const startedAt = group.clock.now();
+    group.find("u1").leaving = true;
+    advance(group, vms, 3000);
+    assert.notEqual(group.primary?.id, "u1");
+    assert.equal(candidates[0]!.coordinator.lastElection?.reason, "primary leaving");
+    assert.ok(findGap(group, startedAt) < 500, `gap ${findGap(group, startedAt)} ms`);
+    assert.deepEqual(findViolations(group), []);
+});
+
+test("an upstream left in an open term by a candidate that died gets back into the group", () => {
+    const { group, vms } = startGroup([0]);
+    Object.assign(group.find("u3"), { acceptedTerm: 5, primary: undefined });
+    advance(group, vms, 3000);
+    assert.ok(group.members.every(member => member.acceptedTerm === group.primary!.acceptedTerm && member.primary === group.primary!.id));
+    assert.deepEqual(findViolations(group), []);
+});
+
+type Fault = readonly [kind: number, first: number, second: number, forMs: number];
+
+const faults = fc.array(fc.tuple(fc.nat(6), fc.nat(7), fc.nat(7), fc.integer({ min: 20, max: 3000 })), { minLength: 1, maxLength: 12 });
+
+function applyFault(group: SimulatedGroup, vms: readonly Vm[], [kind, first, second]: Fault): void {
+    const names = ["u1", "u2", "u3", ...vms.map(vm => vm.name)];
+    const member = group.members[first % 3]!;
+    const vm = vms[second % vms.length]!;
+    if (kind === 0) group.separate([names[first % names.length]!], names.filter((_name, index) => index !== first % names.length));
+    if (kind === 1) {
+        group.separate(
+            names.filter((_name, index) => (first >> index % 3) % 2 === 0),
+            names.filter((_name, index) => (first >> index % 3) % 2 === 1),
+        );
+    }
+    if (kind === 2) group.blocked.add(`${names[first % names.length]}>${names[second % names.length]}`);
+    if (kind === 3) group.stopped.add(member.id);
+    if (kind === 4) vm.setPaused(true);
+    if (kind === 5) group.lossRate = first / 20;
+    if (kind === 6) group.heal();
+}
+
+function healAll(group: SimulatedGroup, vms: readonly Vm[]): void {
+    group.heal();
+    for (const vm of vms) vm.setPaused(false);
+}
+
+function runNaiveScenario(seed: number, events: readonly Fault[]): readonly string[] {
+    const group = SimulatedGroup.create(seed);
+    group.start(1, "u1");
+    const vms = ["vm0", "vm1"].map(name => group.createVm(name));
+    for (const vm of vms) Task.start(runNaive(vm, group.createPeers(vm)));
+    advance(group, vms, 500);
+    for (const event of events) {
+        applyFault(group, vms, event);
+        advance(group, vms, event[3]);
+    }
+    healAll(group, vms);
+    advance(group, vms, 3000);
+    return findViolations(group);
+}
+
+test("P2 fails for a coordinator that promotes the first replica to answer, without a majority", () => {
+    const result = fc.check(fc.property(fc.nat(), faults, (seed, events) => runNaiveScenario(seed, events).length === 0), { seed: 7, numRuns: 60 });
+    assert.equal(result.failed, true);
+});
+
+test("P2 holds under message loss, pauses and partitions, and the group recovers within the target", () => {
+    fc.assert(
+        fc.property(fc.nat(), faults, (seed, events) => {
+            const group = SimulatedGroup.create(seed);
+            group.start(1, "u1");
+            const vms = [0, 0, 1].map((place, index) => startCandidate(group, place, `vm${index}`).vm);
+            advance(group, vms, 500);
+            for (const event of events) {
+                applyFault(group, vms, event);
+                advance(group, vms, event[3]);
+            }
+            healAll(group, vms);
+            const healedAt = group.clock.now();
+            advance(group, vms, gapTargetMs + 2000);
+            assert.deepEqual(findViolations(group), []);
+            assert.ok(findGap(group, healedAt) < gapTargetMs, `gap ${findGap(group, healedAt)} ms after the faults ended`);
+        }),
+        { seed: 11, numRuns: 100 },
+    );
+});
--- /dev/null
+++ b/packages/upstream/src/simulatedGroup.test.ts
@@ -0,0 +1,266 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { GroupView } from "@vanillarouter/base/groupView";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { Signal } from "@vanillarouter/base/signal";
+import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { TermAnswer } from "@vanillarouter/routing/termAnswer";
+import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+
+interface Entry {
+    readonly term: number;
+    readonly request: number;
+}
+
+interface Member {
+    readonly id: string;
+    acceptedTerm: number;
+    primary: string | undefined;
+    log: readonly Entry[];
+    lastContactAt: number;
+    leaving: boolean;
+}
+
+/** A write that its owner acknowledged. */
+interface Acknowledgement {
+    readonly request: number;
+    readonly term: number;
+    readonly primary: string;
+    readonly at: number;
+}
+
+const latencyMs = 1;
+const heartbeatMs = 50;
+const confirmTimeoutMs = 500;
+
+/** A VM that can be paused: none of its timers fires and no answer reaches it until it resumes. */
+class SimulatedVm implements Clock, GroupDirectory {
+    public readonly changed = Signal.create<GroupView>();
+    public view: GroupView | undefined;
+    private paused = false;
+    private readonly held: (() => void)[] = [];
+
+    private constructor(public readonly name: string, private readonly clock: ManualClock) {}
+
+    public static create(name: string, clock: ManualClock): SimulatedVm {
+        return new SimulatedVm(name, clock);
+    }
+
+    public now(): number {
+        return this.clock.now();
+    }
+
+    public startTimer(delayMs: number, listener: () => void): () => void {
+        let cancelled = false;
+        const cancel = this.clock.startTimer(delayMs, () => this.run(() => cancelled || listener()));
+        return () => {
+            cancelled = true;
+            cancel();
+        };
+    }
+
+    public run(action: () => void): void {
+        if (this.paused) this.held.push(action);
+        else action();
+    }
+
+    public setPaused(paused: boolean): void {
+        this.paused = paused;
+        while (!this.paused && this.held.length > 0) this.held.shift()!();
+    }
+
+    public find(): GroupView | undefined {
+        return this.view;
+    }
+
+    public learn(view: GroupView): boolean {
+        const isNewer = view.term > (this.view?.term ?? -1) || (view.term === this.view?.term && this.view.primary === undefined && view.primary !== undefined);
+        if (isNewer) this.view = view;
+        return isNewer;
+    }
+}
+
+/** Three upstreams, VMs and a network between them that loses, delays and blocks messages, all on one manual clock. */
+export class SimulatedGroup {
+    public readonly clock = ManualClock.create();
+    public readonly random: SeededRandom;
+    public readonly members: readonly Member[];
+    public readonly acknowledged: Acknowledgement[] = [];
+    /** Blocked directions as `from>to`. */
+    public readonly blocked = new Set<string>();
+    public readonly stopped = new Set<string>();
+    public lossRate = 0;
+    private requests = 0;
+
+    private constructor(seed: number, size: number) {
+        this.random = SeededRandom.create(seed);
+        const ids = Array.from({ length: size }, (_value, index) => `u${index + 1}`);
+        this.members = ids.map(id => ({ id, acceptedTerm: 0, primary: undefined, log: [], lastContactAt: 0, leaving: false }));
+        this.scheduleHeartbeat();
+    }
+
+    public static create(seed = 1, size = 3): SimulatedGroup {
+        return new SimulatedGroup(seed, size);
+    }
+
+    /** Gives the group a primary in a term, as an earlier election would have. */
+    public start(term: number, primary: string): void {
+        for (const member of this.members) {
+            Object.assign(member, { acceptedTerm: term, primary, log: [{ term, request: 0 }] });
+        }
+    }
+
+    public createVm(name: string): SimulatedVm {
+        return SimulatedVm.create(name, this.clock);
+    }
+
+    public find(id: string): Member {
+        return this.members.find(member => member.id === id)!;
+    }
+
+    /** Blocks both directions between every pair of the two sides. */
+    public separate(first: readonly string[], second: readonly string[]): void {
+        for (const from of first) {
+            for (const to of second) this.blocked.add(`${from}>${to}`).add(`${to}>${from}`);
+        }
+    }
+
+    public heal(): void {
+        this.blocked.clear();
+        this.stopped.clear();
+        this.lossRate = 0;
+    }
+
+    /** The upstream that is primary in the highest term, if that term has one. */
+    public get primary(): Member | undefined {
+        return this.members.filter(member => member.primary === member.id).sort((first, second) => second.acceptedTerm - first.acceptedTerm)[0];
+    }
+
+    public createPeers(vm: SimulatedVm): readonly GroupPeer[] {
+        return this.members.map(member => this.createPeer(vm, member));
+    }
+
+    /** Writes as the owner on `vm` does: execute on the primary of its view, then have another upstream confirm it. */
+    public write(vm: SimulatedVm): void {
+        const { term = 0, primary } = vm.view ?? {};
+        const request = ++this.requests;
+        if (primary === undefined || !this.passes(vm.name, primary)) return;
+        this.clock.startTimer(latencyMs, () => {
+            const member = this.find(primary);
+            if (this.stopped.has(primary) || member.primary !== primary || member.acceptedTerm !== term) return;
+            member.log = [...member.log, { term, request }];
+            const position = member.log.length;
+            this.clock.startTimer(latencyMs, () => this.replicate(member));
+            this.confirm(vm, member, { term, position }, request, this.clock.now() + confirmTimeoutMs);
+        });
+    }
+
+    private confirm(vm: SimulatedVm, primary: Member, entry: LogPosition, request: number, deadline: number): void {
+        const holds = (member: Member): boolean =>
+            member !== primary && !this.stopped.has(member.id) && member.acceptedTerm === entry.term && member.log[entry.position - 1]?.request === request
+            && this.passes(vm.name, member.id) && this.passes(member.id, vm.name);
+        if (this.members.some(holds)) this.acknowledged.push({ request, term: entry.term, primary: primary.id, at: this.clock.now() });
+        else if (this.clock.now() < deadline) this.clock.startTimer(5, () => this.confirm(vm, primary, entry, request, deadline));
+    }
+
+    private passes(from: string, to: string): boolean {
+        return !this.blocked.has(`${from}>${to}`) && this.random.next() >= this.lossRate;
+    }
+
+    private scheduleHeartbeat(): void {
+        this.clock.startTimer(heartbeatMs, () => {
+            for (const member of this.members) this.replicate(member);
+            this.scheduleHeartbeat();
+        });
+    }
+
+    private replicate(primary: Member): void {
+        if (primary.primary !== primary.id || this.stopped.has(primary.id)) return;
+        for (const member of this.members) {
+            const follows = member.primary === primary.id && member.acceptedTerm === primary.acceptedTerm && member !== primary;
+            if (!follows || this.stopped.has(member.id) || !this.passes(primary.id, member.id) || !this.passes(member.id, primary.id)) continue;
+            member.log = primary.log;
+            member.lastContactAt = this.clock.now();
+        }
+    }
+
+    private createPeer(vm: SimulatedVm, member: Member): GroupPeer {
+        const fail = <T>(): Result<T, Failure> => Err(createFailure(Diagnostics.callRejected, RunOutcome.DidNotRun, member.id, "call", "refused"));
+        const call = <T>(timeoutMs: number, body: () => Result<T, Failure>): Operation<Result<T, Failure>> => this.call(vm, member, timeoutMs, body);
+        const change = (body: () => boolean): () => Result<UpstreamStatus, Failure> => () => body() ? Ok(this.describe(member)) : fail();
+        return {
+            upstream: member.id,
+            readStatus: timeoutMs => call(timeoutMs, () => Ok(this.describe(member))),
+            acceptTerm: (term, timeoutMs) => call<TermAnswer>(timeoutMs, () => Ok(this.acceptTerm(member, term))),
+            promote: (term, timeoutMs) => call(timeoutMs, change(() => this.promote(member, term))),
+            follow: (term, primary, timeoutMs) => call(timeoutMs, change(() => this.follow(member, term, primary))),
+            waitReceived: (_entry, timeoutMs) => call(timeoutMs, () => fail()),
+            lookUp: (_id, timeoutMs) => call(timeoutMs, () => fail()),
+            cancel: (_id, _term, timeoutMs) => call(timeoutMs, () => fail()),
+            close: () => {},
+        };
+    }
+
+    private call<T>(vm: SimulatedVm, member: Member, timeoutMs: number, body: () => Result<T, Failure>): Operation<Result<T, Failure>> {
+        return perform<Result<T, Failure>>({
+            start: resume => {
+                let done = false;
+                const settle = (result: Result<T, Failure>): void => {
+                    if (done) return;
+                    done = true;
+                    resume(result);
+                };
+                vm.startTimer(timeoutMs, () => settle(Err(createFailure(Diagnostics.callTimedOut, RunOutcome.Unknown, member.id, "call", timeoutMs))));
+                if (this.passes(vm.name, member.id)) {
+                    this.clock.startTimer(latencyMs, () => {
+                        if (this.stopped.has(member.id)) return;
+                        const result = body();
+                        if (this.passes(member.id, vm.name)) this.clock.startTimer(latencyMs, () => vm.run(() => settle(result)));
+                    });
+                }
+                return () => done = true;
+            },
+        });
+    }
+
+    private acceptTerm(member: Member, term: number): TermAnswer {
+        const accepted = term > member.acceptedTerm;
+        if (accepted) Object.assign(member, { acceptedTerm: term, primary: undefined });
+        return { accepted, acceptedTerm: member.acceptedTerm, received: this.describe(member).received };
+    }
+
+    private promote(member: Member, term: number): boolean {
+        if (term !== member.acceptedTerm || (member.primary !== undefined && member.primary !== member.id)) return false;
+        if (member.primary === undefined) Object.assign(member, { primary: member.id, log: [...member.log, { term, request: -term }] });
+        return true;
+    }
+
+    private follow(member: Member, term: number, primary: string): boolean {
+        if (term < member.acceptedTerm || (term === member.acceptedTerm && member.primary !== undefined)) return member.primary === primary;
+        Object.assign(member, { acceptedTerm: term, primary, lastContactAt: this.clock.now() });
+        return true;
+    }
+
+    private describe(member: Member): UpstreamStatus {
+        const received = { term: member.log.at(-1)?.term ?? 0, position: member.log.length };
+        return {
+            upstream: member.id,
+            isPrimary: member.primary === member.id,
+            acceptedTerm: member.acceptedTerm,
+            received,
+            applied: received,
+            primary: member.primary,
+            primarySilenceMs: member.primary === member.id ? 0 : this.clock.now() - member.lastContactAt,
+            leaving: member.leaving,
+        };
+    }
+}
