Test failover against vr-group processes

Killed, paused and isolated primaries under write load; acknowledged writes are compared with the record of the upstreams.

--- /dev/null
+++ b/packages/bench/src/failover.e2e.test.ts
@@ -0,0 +1,189 @@
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { SystemClock } from "@vanillarouter/base/systemClock";
+import { SystemRandom } from "@vanillarouter/base/systemRandom";
+import { Task } from "@vanillarouter/base/task";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
+import { FailoverCoordinator } from "@vanillarouter/upstream/failoverCoordinator";
+import { MysqlUpstreamPeer } from "@vanillarouter/upstream/mysqlUpstreamPeer";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { GroupProcesses } from "./groupProcesses";
+
+const clock = SystemClock.create();
+const gapTargetMs = 10_000;
+const medianGapTargetMs = 2000;
+const writeTimeoutMs = 500;
+const settleMs = 1000;
+
+function createDirectory(): GroupDirectory & { view?: GroupView; } {
+    return {
+        changed: Signal.create<GroupView>(),
+        find() {
+            return this.view;
+        },
+        learn(view) {
+            const isNewer = view.term > (this.view?.term ?? -1) || (view.term === this.view?.term && this.view.primary === undefined);
+            if (isNewer) this.view = view;
+            return isNewer;
+        },
+    };
+}
+
+/** Writes one after another as an owner does: execute on the primary, confirm on any other upstream. */
+class Writer {
+    public readonly acknowledged: { readonly requestId: string; readonly at: number; }[] = [];
+    private connection: UpstreamConnection | undefined;
+    private connectedTo = "";
+    private count = 0;
+
+    private constructor(
+        private readonly group: GroupProcesses,
+        private readonly peer: MysqlUpstreamPeer,
+        private readonly peers: readonly GroupPeer[],
+        private readonly directory: GroupDirectory,
+    ) {}
+
+    public static create(group: GroupProcesses, peer: MysqlUpstreamPeer, peers: readonly GroupPeer[], directory: GroupDirectory): Writer {
+        return new Writer(group, peer, peers, directory);
+    }
+
+    public *run(): Operation<void> {
+        for (;;) {
+            yield* withTimeout(clock, writeTimeoutMs, this.writeOnce(`w${++this.count}`));
+            yield* sleep(clock, 5);
+        }
+    }
+
+    private *writeOnce(requestId: string): Operation<void> {
+        const { primary, term = 0 } = this.directory.find("g") ?? {};
+        if (primary === undefined) return;
+        if (this.connection?.isOpen !== true || this.connectedTo !== primary) {
+            this.connection?.close();
+            this.connectedTo = primary;
+            this.connection = (yield* this.peer.connect(this.group.find(primary).settings, writeTimeoutMs)).unwrapOr(undefined as never);
+            if (this.connection === undefined) return;
+        }
+        const sql = `INSERT INTO orders (ref, franchisee, item, quantity) VALUES ('${requestId}', 'f1', 'item1', 1)`;
+        const result = yield* this.connection.write(sql, term, requestId);
+        if (result.err) return;
+        const others = this.peers.filter(peer => peer.upstream !== primary);
+        const confirmed = yield* race(others.map(peer => peer.waitReceived(result.val.at, writeTimeoutMs)));
+        if (confirmed.ok && confirmed.val.acceptedTerm === term) this.acknowledged.push({ requestId, at: clock.now() });
+    }
+}
+
+/** Injects a failure of the current primary under write load, `times` times, checks the record and returns the gaps. */
+function runFailures(
+    fail: (group: GroupProcesses, primary: string) => Operation<void>,
+    repair: (group: GroupProcesses, primary: string) => Operation<void>,
+    times: number,
+): Promise<number[]> {
+    return Task.start((function*(): Operation<number[]> {
+        const group = yield* GroupProcesses.start({ name: "g", zones: ["a", "b", "c"], slots: 5, maxConnections: 30, statementMs: 1 });
+        const peer = MysqlUpstreamPeer.create({ user: "vr", password: "vr", clock });
+        const peers = group.upstreams.map(upstream => peer.openGroupPeer(upstream.settings));
+        const directory = createDirectory();
+        const coordinators = [0, 1].map(place =>
+            FailoverCoordinator.create({ clock, random: SystemRandom.create(), group: "g", peers, groups: directory, place })
+        );
+        const writer = Writer.create(group, peer, peers, directory);
+        const tasks = [writer.run(), ...coordinators.map(coordinator => coordinator.run())].map(operation => Task.start(operation));
+        const gaps: number[] = [];
+        try {
+            for (let count = 0; count < times; count++) {
+                yield* sleep(clock, settleMs);
+                const primary = directory.find("g")?.primary;
+                assert.ok(primary !== undefined, "the group has no primary before the failure");
+                gaps.push(yield* measureGap(group, writer, primary, fail));
+                yield* repair(group, primary);
+            }
+            yield* sleep(clock, settleMs);
+            for (const task of tasks) task.cancel();
+            yield* checkRecord(group, writer, directory.find("g")!.primary!);
+        }
+        finally {
+            for (const task of tasks) task.cancel();
+            for (const each of peers) each.close();
+            yield* group.stop();
+        }
+        return gaps;
+    })()).toPromise();
+}
+
+function* measureGap(
+    group: GroupProcesses,
+    writer: Writer,
+    primary: string,
+    fail: (group: GroupProcesses, primary: string) => Operation<void>,
+): Operation<number> {
+    const failedAt = clock.now();
+    yield* fail(group, primary);
+    const countBefore = writer.acknowledged.length;
+    const lastBefore = writer.acknowledged.at(-1)?.at ?? failedAt;
+    while (clock.now() - failedAt < gapTargetMs && !writer.acknowledged.slice(countBefore).some(write => write.at > lastBefore + 200)) yield* sleep(clock, 10);
+    const times = [failedAt, ...writer.acknowledged.map(write => write.at).filter(at => at > failedAt), clock.now()];
+    return Math.max(...times.slice(1).map((at, index) => at - times[index]!));
+}
+
+/** Every acknowledged write is in the primary's log, and none is there twice. */
+function* checkRecord(group: GroupProcesses, writer: Writer, primary: string): Operation<void> {
+    const record = yield* group.find(primary).readRecord();
+    const recorded = record.log.flatMap(entry => entry.requestId ?? []);
+    const kept = new Set(recorded);
+    assert.deepEqual(writer.acknowledged.filter(write => !kept.has(write.requestId)), [], "acknowledged writes are lost");
+    assert.equal(kept.size, recorded.length, "a write was executed twice");
+    assert.ok(writer.acknowledged.length > 50, "too few writes to say anything");
+}
+
+function checkGaps(gaps: readonly number[]): void {
+    const median = [...gaps].sort((first, second) => first - second)[Math.floor(gaps.length / 2)]!;
+    assert.ok(Math.max(...gaps) < gapTargetMs, `gaps ${gaps.join(", ")} ms`);
+    assert.ok(median < medianGapTargetMs, `gaps ${gaps.join(", ")} ms`);
+}
+
+test("a killed primary is replaced within the target and no acknowledged write is lost", async t => {
+    const gaps = await runFailures(
+        function*(group, primary) {
+            group.find(primary).program.kill("SIGKILL");
+        },
+        function*() {},
+        1,
+    );
+    t.diagnostic(`gaps in ms: ${gaps.map(Math.round).join(", ")}`);
+    checkGaps(gaps);
+});
+
+test("paused primaries are replaced within the target and rejoin when they resume", async t => {
+    const gaps = await runFailures(
+        function*(group, primary) {
+            group.find(primary).program.kill("SIGSTOP");
+        },
+        function*(group, primary) {
+            group.find(primary).program.kill("SIGCONT");
+        },
+        3,
+    );
+    t.diagnostic(`gaps in ms: ${gaps.map(Math.round).join(", ")}`);
+    checkGaps(gaps);
+});
+
+test("primaries isolated from their replicas, while clients reach them, are replaced and drop their unacknowledged tail", async t => {
+    const gaps = await runFailures(
+        function*(group, primary) {
+            yield* group.find(primary).setFaults({ isolatedFromPeers: true });
+        },
+        function*(group, primary) {
+            yield* group.find(primary).setFaults({ isolatedFromPeers: false });
+        },
+        3,
+    );
+    t.diagnostic(`gaps in ms: ${gaps.map(Math.round).join(", ")}`);
+    checkGaps(gaps);
+});
