Add vanillarouterd: settings, wiring of all roles and graceful shutdown

Lacks an end-to-end run so far: no test has started the daemon. The coordinator changes nothing in a group while this VM may not use its roles, as after a pause.

--- /dev/null
+++ b/packages/daemon/src/coordinatorHost.ts
@@ -0,0 +1,90 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Operation } from "@vanillarouter/base/operation";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { Task } from "@vanillarouter/base/task";
+import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
+import { UpstreamPeer } from "@vanillarouter/routing/upstreamPeer";
+import { FailoverCoordinator } from "@vanillarouter/upstream/failoverCoordinator";
+import { VmNode } from "@vanillarouter/vm/vmNode";
+import * as bunyan from "bunyan";
+
+interface CoordinatorHostOptions {
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly node: VmNode;
+    readonly peer: UpstreamPeer;
+    readonly groups: GroupDirectory;
+    readonly logger: bunyan;
+}
+
+interface RunningCoordinator {
+    readonly place: number;
+    readonly group: DatabaseGroup;
+    readonly coordinator: FailoverCoordinator;
+    readonly task: Task<void>;
+}
+
+/** The groups that this VM is a coordinator of. Starts and ends coordinators as roles and the configuration change. */
+export class CoordinatorHost {
+    private readonly running = new Map<string, RunningCoordinator>();
+    private readonly tasks: TaskGroup;
+
+    private constructor(private readonly options: CoordinatorHostOptions) {
+        this.tasks = TaskGroup.create(err => options.logger.error({ err: String(err) }, "coordinator.failed"));
+    }
+
+    public static create(options: CoordinatorHostOptions): CoordinatorHost {
+        return new CoordinatorHost(options);
+    }
+
+    /** Coordinators that run now, by group. */
+    public get coordinators(): ReadonlyMap<string, { readonly place: number; readonly coordinator: FailoverCoordinator; }> {
+        return this.running;
+    }
+
+    /** Compares the running coordinators with the roles of this VM. Returns at once. */
+    public update(): void {
+        const { node } = this.options;
+        const groups = node.configuration.current?.groups ?? new Map<string, DatabaseGroup>();
+        for (const [name, { group, place, task }] of this.running) {
+            const current = groups.get(name);
+            const isCurrent = current !== undefined && !task.isSettled && node.findCoordinatorPlace(current) === place && isSameGroup(current, group);
+            if (isCurrent) continue;
+            task.cancel();
+            this.running.delete(name);
+        }
+        for (const group of groups.values()) {
+            const place = node.findCoordinatorPlace(group);
+            if (place !== undefined && !this.running.has(group.name)) this.start(group, place);
+        }
+    }
+
+    /** Ends all coordinators. */
+    public *close(): Operation<void> {
+        this.running.clear();
+        yield* this.tasks.cancelAll();
+    }
+
+    private start(group: DatabaseGroup, place: number): void {
+        const { clock, random, groups, logger, node, peer } = this.options;
+        const peers = group.upstreams.map(upstream => peer.openGroupPeer(upstream));
+        const isLeaving = (upstream: string): boolean => node.owners.isLeaving(upstream);
+        const coordinator = FailoverCoordinator.create({ clock, random, group: group.name, peers, groups, place, isLeaving, logger });
+        const run = function*(): Operation<void> {
+            try {
+                yield* coordinator.run();
+            }
+            finally {
+                for (const opened of peers) opened.close();
+            }
+        };
+        this.running.set(group.name, { place, group, coordinator, task: this.tasks.start(run()) });
+    }
+}
+
+/** Shards are parsed anew at each change, so equal groups are different objects. */
+function isSameGroup(first: DatabaseGroup, second: DatabaseGroup): boolean {
+    return first === second || JSON.stringify(first) === JSON.stringify(second);
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,254 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { fromPromise } from "@vanillarouter/base/fromPromise";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { CallerListener } from "@vanillarouter/caller/callerListener";
+import { AdministrationServer } from "@vanillarouter/operator/administrationServer";
+import { ConfigurationEditor } from "@vanillarouter/platform/configurationEditor";
+import { PlatformClient } from "@vanillarouter/platform/platformClient";
+import { EntryService } from "@vanillarouter/routing/entryService";
+import { KnownGroupViews } from "@vanillarouter/routing/knownGroupViews";
+import { OwnerHost } from "@vanillarouter/routing/ownerHost";
+import { MysqlUpstreamPeer } from "@vanillarouter/upstream/mysqlUpstreamPeer";
+import { NodeRoles } from "@vanillarouter/vm/nodeRoles";
+import { RunningNode } from "@vanillarouter/vm/runningNode";
+import { startVmNode } from "@vanillarouter/vm/startVmNode";
+import { VmNode } from "@vanillarouter/vm/vmNode";
+import * as bunyan from "bunyan";
+import { createHmac } from "node:crypto";
+import { readFileSync } from "node:fs";
+import { Err, Ok, Result } from "ts-results";
+import { CoordinatorHost } from "./coordinatorHost";
+import { DaemonAddresses } from "./daemonAddresses";
+import { DaemonSettings } from "./daemonSettings";
+import { DaemonView } from "./daemonView";
+import { Diagnostics } from "./diagnostics";
+import { ObservedUpstreamPeer } from "./observedUpstreamPeer";
+import { OwnerRoles } from "./ownerRoles";
+
+interface DaemonOptions {
+    readonly settings: DaemonSettings;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly logger: bunyan;
+    /** Called with the bound addresses once callers are served. */
+    readonly onReady: (addresses: DaemonAddresses) => void;
+}
+
+/** The parts of a daemon that are made once its node exists. */
+interface Parts {
+    readonly groups: KnownGroupViews;
+    readonly owners: OwnerHost;
+    readonly coordinators: CoordinatorHost;
+    readonly ownerRoles: OwnerRoles;
+    readonly entry: EntryService;
+    readonly listener: CallerListener;
+}
+
+const roleCheckIntervalMs = 250;
+const readyCheckMs = 5_000;
+
+/** One VM of the system: every role, wired together. */
+export class Daemon {
+    private state: "starting" | "serving" | "draining" = "starting";
+    private readonly drainRequested = Signal.create<void>();
+    private readonly counters = CounterMetrics.create();
+    private readonly platform: PlatformClient;
+    private parts: Parts | undefined;
+
+    private constructor(private readonly options: DaemonOptions) {
+        this.platform = PlatformClient.create(options.settings.platform);
+    }
+
+    public static create(options: DaemonOptions): Daemon {
+        return new Daemon(options);
+    }
+
+    /** Begins the graceful shutdown; `run` returns when it is complete. */
+    public startDrain(): void {
+        if (this.state === "draining") return;
+        this.options.logger.info({}, "daemon.draining");
+        this.state = "draining";
+        this.drainRequested.notifyAll();
+    }
+
+    /** Serves until a shutdown was asked for and is complete. Fails if an address cannot be bound. */
+    public *run(): Operation<Result<void, Failure>> {
+        const running = yield* this.startNode();
+        if (running.err) return running;
+        const { node } = running.val;
+        const parts = this.parts!;
+        const tasks = [Task.start(this.runNode(node)), Task.start(this.followRoles(node, parts))];
+        const administration = this.createAdministration(running.val, parts);
+        try {
+            const served = yield* this.serve(running.val, parts, administration);
+            if (served.err) return served;
+            yield* this.drain(running.val, parts);
+            return Ok(undefined);
+        }
+        finally {
+            for (const task of tasks) task.cancel();
+            parts.listener.close();
+            yield* parts.coordinators.close();
+            yield* parts.owners.close();
+            yield* running.val.close();
+            administration.close();
+            this.platform.close();
+        }
+    }
+
+    private *startNode(): Operation<Result<RunningNode, Failure>> {
+        const { settings, clock, random, logger } = this.options;
+        const { vm, cluster } = settings;
+        const [certificate, privateKey, authority] = [cluster.certificateFile, cluster.privateKeyFile, cluster.authorityFile].map(file =>
+            readFileSync(file, "utf8")
+        ) as [string, string, string];
+        const incarnation = Math.floor(Date.now() / 1000);
+        return yield* startVmNode({
+            settings: { ...vm, clusterKey: cluster.key, tls: { certificate, privateKey, authority }, incarnation },
+            store: this.platform,
+            list: this.platform,
+            clock,
+            random,
+            createRoles: node => this.createRoles(node),
+            onEvent: (event, fields) => logger.info({ ...fields, cause: formatCause(fields["cause"]) }, `node.${event}`),
+        });
+    }
+
+    private createRoles(node: VmNode): NodeRoles {
+        const { settings, clock, random, logger } = this.options;
+        const groups = KnownGroupViews.create();
+        const peer = ObservedUpstreamPeer.create(MysqlUpstreamPeer.create({ ...settings.upstream, clock }), node);
+        const { configuration } = node;
+        const owners = OwnerHost.create({ clock, random, peer, groups, owners: node.owners, configuration, logger });
+        const coordinators = CoordinatorHost.create({ clock, random, node, peer, groups, logger });
+        const tokenKey = createHmac("sha256", settings.cluster.key).update("session token").digest();
+        const entry = EntryService.create({ clock, random, configuration, groups, owners: node.owners, tokenKey });
+        const listener = CallerListener.create({ configuration, entry, clock, logger, counters: this.counters, limits: settings.caller });
+        this.parts = { groups, owners, coordinators, ownerRoles: OwnerRoles.create(node, owners), entry, listener };
+        return { owner: owners, groups, rates: { collect: () => owners.exportRates(), learn: rates => owners.learnRates(rates) } };
+    }
+
+    private *runNode(node: VmNode): Operation<void> {
+        try {
+            yield* node.run();
+        }
+        catch (err) {
+            const failure = createFailure(Diagnostics.unexpectedError, RunOutcome.Unknown, String(err));
+            this.options.logger.error({ code: failure.code, err: err instanceof Error ? err.stack : String(err) }, "node.failed");
+            this.startDrain();
+        }
+    }
+
+    /** Starts and ends roles when membership or configuration change, and regularly, as roles return after a pause. */
+    private *followRoles(node: VmNode, parts: Parts): Operation<never> {
+        for (;;) {
+            parts.ownerRoles.update();
+            parts.coordinators.update();
+            const wait = sleep(this.options.clock, roleCheckIntervalMs);
+            yield* race<unknown>([node.owners.changed.wait(), node.configuration.changed.wait(), wait]);
+        }
+    }
+
+    private createAdministration(running: RunningNode, parts: Parts): AdministrationServer {
+        const { settings, clock, random, logger } = this.options;
+        const view = DaemonView.create({
+            vm: settings.vm.id,
+            running,
+            listener: parts.listener,
+            groups: parts.groups,
+            owners: parts.owners,
+            coordinators: parts.coordinators,
+            entry: parts.entry.metrics,
+            counters: this.counters,
+            platform: this.platform,
+            readState: () => this.state,
+            startDrain: () => this.startDrain(),
+        });
+        const writer = ConfigurationEditor.create({ store: this.platform, clock, random, readWallTime: () => Date.now() });
+        const onError = (err: unknown): void => logger.error({ err: err instanceof Error ? err.stack : String(err) }, "administration.failed");
+        return AdministrationServer.create({ credential: settings.administration.credential, view, writer, onError });
+    }
+
+    /** Opens the administration API, waits until the VM may serve, opens the callers' port and waits for a shutdown. */
+    private *serve(running: RunningNode, parts: Parts, administration: AdministrationServer): Operation<Result<void, Failure>> {
+        const { settings } = this.options;
+        const administrationPort = yield* listen(settings.administration, (host, port) => administration.listen(host, port));
+        if (administrationPort.err) return administrationPort;
+        const told = Task.start(this.followOrderToLeave(running.node));
+        try {
+            while (this.state === "starting" && !(yield* this.isReady(running.node))) continue;
+            if (this.state === "draining") return Ok(undefined);
+            const callerPort = yield* listen(settings.caller, (host, port) => parts.listener.listen(host, port));
+            if (callerPort.err) return callerPort;
+            this.state = "serving";
+            const { heartbeatPort, linkPort } = running;
+            const addresses = { callerPort: callerPort.val, administrationPort: administrationPort.val, heartbeatPort, linkPort };
+            this.options.logger.info({ vm: settings.vm.id, ...addresses }, "daemon.serving");
+            this.options.onReady(addresses);
+            yield* this.drainRequested.wait();
+            return Ok(undefined);
+        }
+        finally {
+            told.cancel();
+        }
+    }
+
+    private *isReady(node: VmNode): Operation<boolean> {
+        const ready = yield* race<Result<void, Failure> | void>([node.waitReady(readyCheckMs), this.drainRequested.wait()]);
+        if (ready === undefined || ready.ok) return ready !== undefined;
+        const failure = createFailure(Diagnostics.notReadyYet, RunOutcome.DidNotRun, ready.val.message);
+        this.options.logger.warn({ code: failure.code, reason: failure.message }, "daemon.not_ready");
+        return false;
+    }
+
+    private *followOrderToLeave(node: VmNode): Operation<void> {
+        yield* node.toldToLeave.wait();
+        this.startDrain();
+    }
+
+    /**
+     * Announces that this VM leaves, which moves its roles to others, waits until the load balancer has seen it, and
+     * finishes what is in progress.
+     */
+    private *drain(running: RunningNode, parts: Parts): Operation<void> {
+        const { settings, clock, logger } = this.options;
+        const { announceMs, timeoutMs } = settings.shutdown;
+        const announcedAt = clock.now();
+        yield* running.node.leave();
+        const handOver = Task.start(parts.owners.drain());
+        yield* sleep(clock, Math.max(0, announceMs - (clock.now() - announcedAt)));
+        const remaining = yield* parts.listener.drain(timeoutMs);
+        if (remaining > 0) {
+            const failure = createFailure(Diagnostics.drainIncomplete, RunOutcome.Unknown, remaining, timeoutMs);
+            logger.warn({ code: failure.code, reason: failure.message }, "daemon.drain_incomplete");
+        }
+        yield* withTimeout(clock, timeoutMs, handOver.join());
+        logger.info({ endedByForce: remaining }, "daemon.drained");
+    }
+}
+
+function* listen(
+    address: { readonly host: string; readonly port: number; },
+    start: (host: string, port: number) => Promise<number>,
+): Operation<Result<number, Failure>> {
+    const { host, port } = address;
+    const bound = start(host, port).then(
+        (value): Result<number, Failure> => Ok(value),
+        (err: unknown): Result<number, Failure> => Err(createFailure(Diagnostics.addressNotBound, RunOutcome.DidNotRun, host, port, String(err))),
+    );
+    return yield* fromPromise(bound);
+}
+
+function formatCause(cause: unknown): unknown {
+    return typeof cause === "object" && cause !== null && "message" in cause ? cause.message : cause;
+}
--- /dev/null
+++ b/packages/daemon/src/observedGroupPeer.ts
@@ -0,0 +1,68 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { RecordedOutcome } from "@vanillarouter/routing/recordedOutcome";
+import { TermAnswer } from "@vanillarouter/routing/termAnswer";
+import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { Err, Result } from "ts-results";
+
+interface PeerObserver {
+    /** Returns why this VM may not use its roles at present; undefined if it may. */
+    readonly checkRoles: () => Failure | undefined;
+    /** Called with what an upstream says of itself. */
+    readonly onStatus: (status: UpstreamStatus) => void;
+}
+
+/**
+ * A group peer that passes on what its upstream says of itself, and changes nothing in the group while this VM may not
+ * use its roles, such as after a pause.
+ */
+export class ObservedGroupPeer implements GroupPeer {
+    private constructor(private readonly peer: GroupPeer, private readonly observer: PeerObserver) {}
+
+    public static create(peer: GroupPeer, observer: PeerObserver): ObservedGroupPeer {
+        return new ObservedGroupPeer(peer, observer);
+    }
+
+    public get upstream(): string {
+        return this.peer.upstream;
+    }
+
+    public *readStatus(timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
+        const status = yield* this.peer.readStatus(timeoutMs);
+        if (status.ok) this.observer.onStatus(status.val);
+        return status;
+    }
+
+    public *acceptTerm(term: number, timeoutMs: number): Operation<Result<TermAnswer, Failure>> {
+        const refusal = this.observer.checkRoles();
+        return refusal === undefined ? yield* this.peer.acceptTerm(term, timeoutMs) : Err(refusal);
+    }
+
+    public *promote(term: number, timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
+        const refusal = this.observer.checkRoles();
+        return refusal === undefined ? yield* this.peer.promote(term, timeoutMs) : Err(refusal);
+    }
+
+    public *follow(term: number, primary: string, timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
+        const refusal = this.observer.checkRoles();
+        return refusal === undefined ? yield* this.peer.follow(term, primary, timeoutMs) : Err(refusal);
+    }
+
+    public waitReceived(entry: LogPosition, timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
+        return this.peer.waitReceived(entry, timeoutMs);
+    }
+
+    public lookUp(requestId: string, timeoutMs: number): Operation<Result<RecordedOutcome | undefined, Failure>> {
+        return this.peer.lookUp(requestId, timeoutMs);
+    }
+
+    public cancel(requestId: string, term: number, timeoutMs: number): Operation<Result<RecordedOutcome, Failure>> {
+        return this.peer.cancel(requestId, term, timeoutMs);
+    }
+
+    public close(): void {
+        this.peer.close();
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/observedUpstreamPeer.ts
@@ -0,0 +1,29 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
+import { UpstreamPeer } from "@vanillarouter/routing/upstreamPeer";
+import { VmNode } from "@vanillarouter/vm/vmNode";
+import { Result } from "ts-results";
+import { ObservedGroupPeer } from "./observedGroupPeer";
+
+/** Connections to upstreams of a VM that notes which upstreams say that they are leaving. */
+export class ObservedUpstreamPeer implements UpstreamPeer {
+    private constructor(private readonly peer: UpstreamPeer, private readonly node: VmNode) {}
+
+    public static create(peer: UpstreamPeer, node: VmNode): ObservedUpstreamPeer {
+        return new ObservedUpstreamPeer(peer, node);
+    }
+
+    public connect(upstream: UpstreamSettings, timeoutMs: number): Operation<Result<UpstreamConnection, Failure>> {
+        return this.peer.connect(upstream, timeoutMs);
+    }
+
+    public openGroupPeer(upstream: UpstreamSettings): GroupPeer {
+        return ObservedGroupPeer.create(this.peer.openGroupPeer(upstream), {
+            checkRoles: () => this.node.checkRoles(),
+            onStatus: status => this.node.owners.noteLeaving(upstream.id, status.leaving),
+        });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/settingsSchema.ts
@@ -0,0 +1,59 @@
+import { isIP } from "node:net";
+import { z } from "zod";
+import { checkPemFile } from "./checkPemFile";
+
+const minSecretLength = 16;
+const longestTimeMs = 3_600_000;
+
+const name = z.string().regex(/^[A-Za-z0-9_][A-Za-z0-9_.-]{0,63}$/, "must be 1 to 64 letters, digits, dots, dashes or underscores");
+const address = z.string().refine(text => isIP(text) !== 0, "must be an IP address");
+const port = z.number().int().min(0).max(65_535);
+const remotePort = z.number().int().min(1).max(65_535);
+const secret = z.string().min(minSecretLength);
+const timeMs = z.number().int().min(0).max(longestTimeMs);
+
+function pemFile(kind: "certificate" | "private key"): z.ZodString {
+    return z.string().superRefine((file, context) => {
+        const fault = checkPemFile(file, kind);
+        if (fault !== undefined) context.addIssue({ code: "custom", message: fault });
+    });
+}
+
+/** Schema of the settings file. Unknown keys are faults, so that a misspelt one does not go unnoticed. */
+export const settingsSchema = z.strictObject({
+    /** This VM, as other VMs reach it. */
+    vm: z.strictObject({
+        id: name,
+        zone: name,
+        host: address,
+        heartbeatPort: port,
+        linkPort: port,
+        /** VMs to join through besides those of the platform's list. */
+        seeds: z.array(z.strictObject({ host: address, heartbeatPort: remotePort })).default([]),
+    }),
+    caller: z.strictObject({
+        host: address,
+        port,
+        maxConnections: z.number().int().min(1).max(200_000).default(10_000),
+        maxStatementBytes: z.number().int().min(1024).max(16_000_000).default(1_048_576),
+        loginTimeoutMs: timeMs.min(100).default(10_000),
+    }),
+    administration: z.strictObject({ host: address, port, credential: secret }),
+    /** Secrets and certificates that all VMs share. */
+    cluster: z.strictObject({
+        key: secret,
+        certificateFile: pemFile("certificate"),
+        privateKeyFile: pemFile("private key"),
+        authorityFile: pemFile("certificate"),
+    }),
+    platform: z.strictObject({ host: z.string().min(1), port: remotePort, service: name.optional() }),
+    /** Account of the proxy at all upstreams. */
+    upstream: z.strictObject({ user: z.string().min(1).max(64), password: z.string() }),
+    shutdown: z.strictObject({
+        /** Time for the load balancer to notice that this VM is leaving. */
+        announceMs: timeMs.default(2_000),
+        /** Time for statements and transactions in progress to finish. */
+        timeoutMs: timeMs.default(30_000),
+    }).prefault({}),
+    log: z.strictObject({ level: z.enum(["trace", "debug", "info", "warn", "error", "fatal"]).default("info") }).prefault({}),
+});
