Test two daemons end to end: roaming, conflict, SIGTERM under load, killed primary

The last packet of a drained connection has number 1, which clients expect whether or not they have already sent their next command.

--- a/packages/caller/src/callerConnection.ts
+++ b/packages/caller/src/callerConnection.ts
@@ -206,6 +206,7 @@
     /** A client that has already sent its next command reads this failure as the answer, and the command did not run. */
     private closeIfDrained(): void {
         if (!this.isDraining || this.runner?.isIdle === false || this.commands.size > 0) return;
+        if (this.runner !== undefined) this.connection.sequenceId = 1;
         this.refuse(createFailure(Diagnostics.shuttingDown, RunOutcome.DidNotRun));
     }
 
--- /dev/null
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -0,0 +1,233 @@
+import { createTestCertificates } from "@vanillarouter/vm/createTestCertificates";
+import { Connection, createConnection } from "mysql2/promise";
+import * as assert from "node:assert/strict";
+import { ChildProcess, spawn, spawnSync } from "node:child_process";
+import { createHash } from "node:crypto";
+import { once } from "node:events";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+
+const folder = mkdtempSync(join(tmpdir(), "vanillarouterd-"));
+const credential = "test-administration-credential";
+const host = "127.0.0.1";
+const children: ChildProcess[] = [];
+const daemonFile = join(__dirname, "daemonMain.js");
+const passwordHash = createHash("sha1").update(createHash("sha1").update("secret").digest()).digest("hex");
+const insert = "INSERT INTO orders (ref, franchisee, item, quantity, note) VALUES ('REF', 'f1', 'item1', 2, NULL)";
+
+interface Vm {
+    readonly child: ChildProcess;
+    readonly callerPort: number;
+    readonly admin: string;
+    readonly heartbeatPort: number;
+    readonly readLog: () => string;
+}
+
+interface Upstream {
+    readonly child: ChildProcess;
+    readonly id: string;
+    readonly port: number;
+    readonly peerPort: number;
+    readonly controlPort: number;
+}
+
+let platformPort = 0;
+let upstreams: readonly Upstream[] = [];
+let vms: readonly Vm[] = [];
+
+function start(file: string, args: readonly string[]): { readonly child: ChildProcess; readonly ready: Promise<string>; readonly readLog: () => string; } {
+    const child = spawn(process.execPath, ["--enable-source-maps", file, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    children.push(child);
+    let log = "";
+    child.stderr!.on("data", chunk => log += chunk);
+    const ready = new Promise<string>((resolve, reject) => {
+        let output = "";
+        child.stdout!.on("data", chunk => {
+            output += chunk;
+            const line = /^ready (.*)$/m.exec(output);
+            if (line !== null) resolve(line[1]!);
+        });
+        child.once("exit", code => reject(new Error(`${file} ended with ${code}: ${log}`)));
+    });
+    return { child, ready, readLog: () => log };
+}
+
+async function startUpstream(id: string, primary?: string): Promise<Upstream> {
+    const file = join(__dirname, "..", "..", "standins", "dist", "groupMain.js");
+    const { child, ready } = start(file, [`--id=${id}`, ...primary === undefined ? [] : [`--primary=${primary}`]]);
+    return { child, id, ...JSON.parse(await ready) as { port: number; peerPort: number; controlPort: number; } };
+}
+
+function writeSettings(name: string, settings: unknown): string {
+    const file = join(folder, `${name}.json`);
+    writeFileSync(file, JSON.stringify(settings));
+    return file;
+}
+
+function createSettings(id: string, zone: string, seeds: readonly Vm[]): Record<string, unknown> {
+    const pem = (name: string): string => join(folder, `${name}.pem`);
+    return {
+        vm: { id, zone, host, heartbeatPort: 0, linkPort: 0, seeds: seeds.map(({ heartbeatPort }) => ({ host, heartbeatPort })) },
+        caller: { host, port: 0 },
+        administration: { host, port: 0, credential },
+        cluster: { key: "test-cluster-key-0123", certificateFile: pem("certificate"), privateKeyFile: pem("privateKey"), authorityFile: pem("authority") },
+        platform: { host, port: platformPort },
+        upstream: { user: "vr", password: "vr" },
+        shutdown: { announceMs: 300, timeoutMs: 5000 },
+    };
+}
+
+async function startVm(id: string, zone: string, seeds: readonly Vm[]): Promise<Vm> {
+    const { child, ready, readLog } = start(daemonFile, ["--settings", writeSettings(id, createSettings(id, zone, seeds))]);
+    const line = await ready;
+    const read = (key: string): string => new RegExp(`${key}=(\\S+)`).exec(line)![1]!;
+    return { child, readLog, admin: read("admin"), callerPort: Number(read("caller").split(":")[1]), heartbeatPort: Number(read("heartbeat")) };
+}
+
+async function call(vm: Vm, method: string, path: string, body?: unknown): Promise<{ status: number; body: Record<string, unknown>; }> {
+    const res = await fetch(vm.admin + path, {
+        method,
+        body: body === undefined ? undefined : JSON.stringify(body),
+        headers: { authorization: `Bearer ${credential}` },
+    });
+    return { status: res.status, body: await res.json() as Record<string, unknown> };
+}
+
+function open(vm: Vm): Promise<Connection> {
+    return createConnection({ host, port: vm.callerPort, user: "shop", password: "secret", database: "stock" });
+}
+
+/** Repeats until the body passes, at most 15 s; the last error is thrown. */
+async function eventually<T>(body: () => Promise<T>): Promise<T> {
+    const deadline = Date.now() + 15_000;
+    for (;;) {
+        try {
+            return await body();
+        }
+        catch (err) {
+            if (Date.now() > deadline) throw err;
+            await new Promise(resolve => setTimeout(resolve, 50));
+        }
+    }
+}
+
+async function readExecuted(): Promise<readonly string[]> {
+    const statements: string[] = [];
+    for (const upstream of upstreams) {
+        const record = await (await fetch(`http://${host}:${upstream.controlPort}/record`)).json() as {
+            log: { requestId?: string; statements: string[]; }[];
+            isPrimary: boolean;
+        };
+        if (record.isPrimary) statements.push(...record.log.flatMap(entry => entry.statements));
+    }
+    return statements;
+}
+
+before(async () => {
+    for (const [name, text] of Object.entries(createTestCertificates())) writeFileSync(join(folder, `${name}.pem`), text);
+    platformPort = Number((await start(join(__dirname, "..", "..", "standins", "dist", "platformMain.js"), []).ready).split(":").at(-1));
+    upstreams = await Promise.all(["u1", "u2", "u3"].map(id => startUpstream(id, "u1")));
+    const peers = JSON.stringify(Object.fromEntries(upstreams.map(({ id, peerPort }) => [id, peerPort])));
+    for (const { controlPort } of upstreams) await fetch(`http://${host}:${controlPort}/peers`, { method: "PUT", body: peers });
+    const first = await startVm("vm1", "a", []);
+    vms = [first, await startVm("vm2", "a", [first])];
+    const zones = ["a", "a", "b"];
+    const group = { name: "stock", upstreams: upstreams.map(({ id, port }, index) => ({ id, zone: zones[index], host, port, slots: 2, maxConnections: 30 })) };
+    const edits = [
+        { section: "classes", name: "orders", value: { name: "orders", rank: "urgent", targetMs: 2000, readOnly: false } },
+        { section: "accounts", name: "shop", value: { user: "shop", passwordHash, defaultClass: "orders" } },
+        { section: "groups", name: "stock", value: group },
+    ];
+    assert.equal((await call(first, "PUT", "/v1/config", { edits })).status, 200);
+});
+
+after(() => {
+    for (const child of children) child.kill("SIGKILL");
+    rmSync(folder, { recursive: true });
+});
+
+test("a configuration change reaches the other VM, and writes and reads run through either of them", async () => {
+    const [first, second] = await Promise.all(vms.map(vm => eventually(() => open(vm)))) as [Connection, Connection];
+    const [written] = await eventually(() => first.query(insert.replace("REF", "o1")));
+    const token = /vr_token=(\S+)/.exec((written as { info: string; }).info)?.[1];
+    assert.ok(token !== undefined, "an acknowledged write returns the session token");
+    const [rows] = await second.query(`/*vr token=${token} */ SELECT ref FROM orders WHERE ref = 'o1'`);
+    assert.deepEqual(rows, [{ ref: "o1" }], "a session that roams reads its own write");
+    await second.query("BEGIN");
+    await second.query(insert.replace("REF", "o2"));
+    await second.query("COMMIT");
+    assert.equal((await readExecuted()).filter(sql => sql.includes("'o2'")).length, 1);
+    const groups = (await call(vms[1]!, "GET", "/v1/groups")).body["groups"] as { primary: string; }[];
+    assert.equal(groups[0]!.primary, "u1");
+    first.destroy();
+    second.destroy();
+});
+
+test("a change on an outdated entry is a conflict that shows the present one", async () => {
+    const value = { name: "orders", rank: "urgent", targetMs: 3000, readOnly: false };
+    const answer = await call(vms[1]!, "PUT", "/v1/classes/orders", { value, expectedChangeId: "20200101T000000000Z-00000000" });
+    assert.equal(answer.status, 409);
+    assert.match(JSON.stringify(answer.body), /"targetMs":2000/);
+});
+
+test("SIGTERM on a VM interrupts no request, and its work goes on through the other VM", async () => {
+    const leaving = vms[0]!;
+    const connection = await open(leaving);
+    connection.on("error", () => {});
+    const answered: string[] = [];
+    let refused = 0;
+    const load = (async () => {
+        for (let count = 0; count < 10_000; count++) {
+            try {
+                await connection.query(insert.replace("REF", `drain-${count}`));
+                answered.push(`drain-${count}`);
+            }
+            catch (err) {
+                assert.match(String(err), /\[vr-1112\]|closed state|Connection lost/);
+                refused++;
+                return;
+            }
+        }
+    })();
+    await new Promise(resolve => setTimeout(resolve, 200));
+    leaving.child.kill("SIGTERM");
+    const [code] = await once(leaving.child, "exit");
+    await load;
+    assert.equal(code, 0, leaving.readLog());
+    assert.equal(refused, 1);
+    const executed = await readExecuted();
+    for (const ref of answered) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
+    assert.equal(executed.filter(sql => sql.includes("'drain-")).length, answered.length, "what was refused did not run");
+    const other = await open(vms[1]!);
+    await eventually(() => other.query(insert.replace("REF", "o3")));
+    other.destroy();
+});
+
+test("a killed primary is replaced and the session goes on", async () => {
+    const connection = await open(vms[1]!);
+    await connection.query(insert.replace("REF", "before"));
+    upstreams[0]!.child.kill("SIGKILL");
+    const startedAt = Date.now();
+    await eventually(() => connection.query(insert.replace("REF", "after")));
+    assert.ok(Date.now() - startedAt < 10_000, "the failover gap is under 10 s");
+    upstreams = upstreams.slice(1);
+    const [rows] = await connection.query("SELECT ref FROM orders WHERE ref = 'before'");
+    assert.deepEqual(rows, [{ ref: "before" }]);
+    connection.destroy();
+});
+
+test("--check reports every fault with its path, and a wrong command line has its own exit code", () => {
+    const valid = createSettings("vm9", "a", []);
+    const faulty = { ...valid, vm: { id: "a b", zone: "a", host: "localhost", heartbeatPort: -1, linkPort: 0 }, cluster: { key: "short" }, extra: 1 };
+    const check = (settings: unknown): ReturnType<typeof spawnSync> =>
+        spawnSync(process.execPath, [daemonFile, "--check", "--settings", writeSettings("check", settings)]);
+    assert.equal(check(valid).status, 0);
+    const result = check(faulty);
+    assert.equal(result.status, 1);
+    for (const path of ["vm.id", "vm.host", "vm.heartbeatPort", "cluster.key", "cluster.certificateFile", "extra"]) {
+        assert.match(String(result.stderr), new RegExp(path.replace(".", "\\.")));
+    }
+    assert.equal(spawnSync(process.execPath, [daemonFile, "--unknown"]).status, 2);
+});
