Keep overloads of reads off the primary; refuse without stack traces

Cause: a queue that had just grown passed for a silent upstream, which was then avoided; and the lag came from the owner's status, up to 500 ms old, rather than from what the read saw.

--- a/packages/routing/src/callerTransaction.ts
+++ b/packages/routing/src/callerTransaction.ts
@@ -1,5 +1,6 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { failWith } from "@vanillarouter/base/failWith";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
@@ -72,7 +73,7 @@
     public *execute(request: AdmittedRequest): Operation<Result<StatementResult, Failure>> {
         if (this.aborted) return this.refuseAborted();
         const refusal = this.findRefusal(request);
-        if (refusal !== undefined) return Err(refusal);
+        if (refusal !== undefined) return failWith(refusal);
         const sequence = this.sequence++;
         const result = yield* this.caller.watchCall(request, this.primary, (primary, timeoutMs) =>
             primary.owner.executeInTransaction({
@@ -86,7 +87,7 @@
         this.context.finder.learn(result.val);
         this.aborted = true;
         yield* this.rollBack();
-        return Err({ ...result.val, outcome: RunOutcome.DidNotRun });
+        return failWith({ ...result.val, outcome: RunOutcome.DidNotRun });
     }
 
     /** Commits. A lost answer is asked of the group under the id of the transaction. */
@@ -120,6 +121,6 @@
     }
 
     private refuseAborted(): Err<Failure> {
-        return Err(createFailure(Diagnostics.transactionAborted, RunOutcome.DidNotRun, this.id));
+        return failWith(createFailure(Diagnostics.transactionAborted, RunOutcome.DidNotRun, this.id));
     }
 }
--- a/packages/routing/src/entryReads.ts
+++ b/packages/routing/src/entryReads.ts
@@ -1,11 +1,12 @@
 import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { failWith } from "@vanillarouter/base/failWith";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
-import { Err, Ok, Result } from "ts-results";
+import { Ok, Result } from "ts-results";
 import { AdmittedRequest } from "./admittedRequest";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
@@ -16,9 +17,10 @@
 import { StatementKind } from "./statementKind";
 import { watchOperation } from "./watchOperation";
 
-/** A read whose answer takes this many times as long as expected is sent to another upstream as well. */
+/** A read whose answer takes this many times as long as expected, from a silent upstream, is sent to another one. */
 const patienceFactor = 4;
-const shortestPatienceMs = 40;
+/** Part of a read's time that it waits at least before that. A queue that has just grown looks like silence for a while. */
+const patienceShare = 0.25;
 const roundPauseMs = 20;
 /** A replica without a proof of freshness is not asked again for this share of the allowed age, within this bound. */
 const freshnessPauseShare = 0.25;
@@ -72,17 +74,18 @@
                 if (!(yield* this.awaitRound(request, excluded))) break;
                 continue;
             }
+            const sentAt = clock.now();
             const result = yield* this.send(request, choice, floor, excluded);
             if (result.ok) return result;
             failure = result.val;
             mayHaveRun ||= failure.outcome !== RunOutcome.DidNotRun;
             excluded.add(choice.upstream);
-            this.recordFailure(request, choice, floor, failure);
+            this.recordFailure(request, choice, floor, failure, sentAt);
             // Shed reads are not passed on: that would carry an overload of the replicas to the primary.
             if (this.isRefusal(failure)) break;
         }
         // A lost attempt may still run, so a later refusal must not be reported as "did not run".
-        return Err(mayHaveRun && failure.outcome === RunOutcome.DidNotRun ? { ...failure, outcome: RunOutcome.Unknown } : failure);
+        return failWith(mayHaveRun && failure.outcome === RunOutcome.DidNotRun ? { ...failure, outcome: RunOutcome.Unknown } : failure);
     }
 
     private *send(
@@ -96,12 +99,12 @@
         const sentAt = clock.now();
         const limitMs = request.deadline - sentAt;
         const knowledge = router.obtainKnowledge(choice.upstream);
-        const checkMs = Math.max(shortestPatienceMs, patienceFactor * (choice.expectedMs - choice.waitMs));
-        const isHopeless = (): boolean => this.mayHedge(request, choice, floor, excluded);
+        const checkMs = Math.max(patienceShare * limitMs, patienceFactor * (choice.expectedMs - choice.waitMs));
+        const isHopeless = (): boolean => this.mayHedge(request, choice, floor, excluded, sentAt);
         knowledge.startRequest();
         try {
             const result = yield* watchOperation(clock, { limitMs, checkMs, isHopeless }, this.callOwner(request, choice, floor, limitMs));
-            if (result === undefined) return Err(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(clock.now() - sentAt)));
+            if (result === undefined) return failWith(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(clock.now() - sentAt)));
             if (result.ok) this.recordAnswer(request, choice, result.val, clock.now() - sentAt);
             return result;
         }
@@ -132,23 +135,23 @@
     /** Checks an answer against what was asked, whatever the owner and the upstream checked themselves. */
     private verify(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, answer: OwnerAnswer): Result<OwnerAnswer, Failure> {
         if (answer.requestId !== request.req.requestId) {
-            return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, request.req.requestId));
+            return failWith(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, request.req.requestId));
         }
         if (floor.entry !== undefined && compareLogPositions(answer.at, floor.entry) < 0) {
             const entry = `${floor.entry.term}.${floor.entry.position}`;
-            return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.Ran, choice.upstream, entry));
+            return failWith(createFailure(Diagnostics.floorNotApplied, RunOutcome.Ran, choice.upstream, entry));
         }
         return Ok(answer);
     }
 
     private recordAnswer(request: AdmittedRequest, choice: ReadChoice, answer: OwnerAnswer, elapsedMs: number): void {
         const { router, metrics } = this.context;
-        router.recordAnswer(request.group.name, answer.load, elapsedMs);
+        router.recordAnswer(request.group.name, answer.load, answer.at, elapsedMs);
         if (choice.isPrimary) router.recordEntry(request.group.name, answer.at);
         else metrics.replicaReads++;
     }
 
-    private recordFailure(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, failure: Failure): void {
+    private recordFailure(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, failure: Failure, sentAt: number): void {
         const { clock, finder, router } = this.context;
         const knowledge = router.obtainKnowledge(choice.upstream);
         finder.learn(failure);
@@ -157,7 +160,8 @@
             const pauseMs = Math.min(longestFreshnessPauseMs, freshnessPauseShare * (request.workClass.maxAgeMs ?? 0));
             knowledge.recordNotFresh(pauseMs, clock.now());
         }
-        else if (!this.isRefusal(failure)) knowledge.recordFailure(clock.now());
+        else if (this.isRefusal(failure)) knowledge.recordRefusal(clock.now());
+        else if (knowledge.lastHeardAt < sentAt) knowledge.recordFailure(clock.now());
     }
 
     private isRefusal(failure: Failure): boolean {
@@ -165,9 +169,11 @@
     }
 
     /** Whether the read goes to another upstream although this one may still answer. */
-    private mayHedge(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, excluded: ReadonlySet<string>): boolean {
+    private mayHedge(request: AdmittedRequest, choice: ReadChoice, floor: ReadFloor, excluded: ReadonlySet<string>, sentAt: number): boolean {
         const { router, budgets } = this.context;
         if (router.hasOtherOwner(choice)) return true;
+        // An upstream that answers other requests has a queue; sending the read elsewhere would only add to the load.
+        if (router.obtainKnowledge(choice.upstream).lastHeardAt > sentAt) return false;
         const others = new Set([...excluded, choice.upstream]);
         const alternative = router.choose(request, floor, others);
         if (alternative === undefined || alternative.isPrimary) return false;
@@ -197,7 +203,7 @@
         const { clock, router } = this.context;
         const group = request.group.name;
         const { result } = yield* this.caller.call(request, 0, true, (primary, timeoutMs) => primary.owner.confirmPosition(group, primary.upstream, timeoutMs));
-        if (result.err) return Err({ ...createFailure(Diagnostics.floorNotConfirmed, RunOutcome.DidNotRun, group), details: result.val });
+        if (result.err) return failWith({ ...createFailure(Diagnostics.floorNotConfirmed, RunOutcome.DidNotRun, group), details: result.val });
         router.recordEntry(group, result.val.position);
         floors.raise(group, result.val.position, clock.now());
         return Ok.EMPTY;
--- a/packages/routing/src/entrySession.ts
+++ b/packages/routing/src/entrySession.ts
@@ -1,5 +1,6 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { failWith } from "@vanillarouter/base/failWith";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
@@ -22,10 +23,6 @@
 
 const emptyResult: StatementResult = { columns: [], rows: [], affectedRows: 0, insertId: 0, info: "" };
 
-function refuse(failure: Failure): Err<Failure> {
-    return Err(failure);
-}
-
 /** The session of one caller connection. */
 export class EntrySession implements CallerSession {
     private readonly floors = SessionFloors.create();
@@ -33,6 +30,8 @@
     private transaction: CallerTransaction | undefined;
     private encodedToken: string | undefined;
     private encodedRevision = -1;
+    /** Token that the caller passed last; its floors are known already. */
+    private passedToken: string | undefined;
 
     private constructor(
         private readonly context: EntryContext,
@@ -63,11 +62,13 @@
      */
     public attach(options: SessionOptions): Result<void, Failure> {
         const isOther = options.name !== undefined && options.name !== this.name;
+        if (!isOther && (options.token === undefined || options.token === this.passedToken)) return Ok.EMPTY;
         const now = this.context.clock.now();
         const floors = isOther ? SessionFloors.create() : this.floors;
         if (options.token !== undefined && !this.context.tokens.decodeInto(options.token, floors, now)) {
-            return Err(createFailure(Diagnostics.invalidToken, RunOutcome.DidNotRun));
+            return failWith(createFailure(Diagnostics.invalidToken, RunOutcome.DidNotRun));
         }
+        this.passedToken = options.token;
         if (!isOther) return Ok.EMPTY;
         this.name = options.name;
         this.floors.clear();
@@ -97,14 +98,14 @@
 
     private admit(req: StatementRequest): Result<AdmittedRequest, Failure> {
         const configuration = this.context.configuration.current;
-        if (configuration === undefined) return refuse(createFailure(Diagnostics.noConfiguration, RunOutcome.DidNotRun));
+        if (configuration === undefined) return failWith(createFailure(Diagnostics.noConfiguration, RunOutcome.DidNotRun));
         const workClass = configuration.classes.get(req.className);
-        if (workClass === undefined) return refuse(createFailure(Diagnostics.unknownClass, RunOutcome.DidNotRun, req.className));
+        if (workClass === undefined) return failWith(createFailure(Diagnostics.unknownClass, RunOutcome.DidNotRun, req.className));
         const group = configuration.groups.get(req.group);
-        if (group === undefined) return refuse(createFailure(Diagnostics.unknownGroup, RunOutcome.DidNotRun, req.group));
+        if (group === undefined) return failWith(createFailure(Diagnostics.unknownGroup, RunOutcome.DidNotRun, req.group));
         const kind = classifyStatement(req.sql);
         if (workClass.readOnly && (kind === StatementKind.Write || kind === StatementKind.Begin)) {
-            return refuse(createFailure(Diagnostics.readOnlyClass, RunOutcome.DidNotRun, req.className));
+            return failWith(createFailure(Diagnostics.readOnlyClass, RunOutcome.DidNotRun, req.className));
         }
         return Ok({ req, kind, workClass, group, deadline: req.arrivedAt + (req.timeoutMs ?? workClass.targetMs) });
     }
@@ -120,7 +121,7 @@
                 return yield* this.begin(request);
             case StatementKind.Commit:
                 // Unlike a MySQL server: a caller whose transaction was lost must not take its COMMIT for a success.
-                return refuse(createFailure(Diagnostics.noTransaction, RunOutcome.DidNotRun));
+                return failWith(createFailure(Diagnostics.noTransaction, RunOutcome.DidNotRun));
             case StatementKind.Rollback:
                 return Ok({ result: emptyResult });
         }
@@ -142,7 +143,7 @@
     private *continueTransaction(transaction: CallerTransaction, request: AdmittedRequest): Operation<Result<StatementAnswer, Failure>> {
         switch (request.kind) {
             case StatementKind.Begin:
-                return refuse(createFailure(Diagnostics.transactionOpen, RunOutcome.DidNotRun));
+                return failWith(createFailure(Diagnostics.transactionOpen, RunOutcome.DidNotRun));
             case StatementKind.Commit: {
                 this.transaction = undefined;
                 return this.acceptWrite(request, yield* transaction.commit(request, this.writes));
--- a/packages/routing/src/entryWrites.ts
+++ b/packages/routing/src/entryWrites.ts
@@ -1,8 +1,9 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { failWith } from "@vanillarouter/base/failWith";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
-import { Err, Result } from "ts-results";
+import { Result } from "ts-results";
 import { AdmittedRequest } from "./admittedRequest";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
@@ -58,7 +59,7 @@
             finder.learn(result.val);
             yield* finder.waitUntil(() => finder.hasMoved(group, primary), Math.min(resolvePauseMs, request.deadline - clock.now()));
         }
-        return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, requestId));
+        return failWith(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, requestId));
     }
 
     private *send(request: AdmittedRequest, primary: KnownPrimary, timeoutMs: number): Operation<Result<OwnerAnswer, Failure>> {
@@ -77,7 +78,7 @@
             repeatable: req.repeatable,
         });
         if (result.ok && result.val.requestId !== req.requestId) {
-            return Err(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, req.requestId));
+            return failWith(createFailure(Diagnostics.outcomeUnknown, RunOutcome.Unknown, req.requestId));
         }
         return result;
     }
--- a/packages/routing/src/primaryCaller.ts
+++ b/packages/routing/src/primaryCaller.ts
@@ -1,8 +1,9 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { failWith } from "@vanillarouter/base/failWith";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
-import { Err, Result } from "ts-results";
+import { Result } from "ts-results";
 import { AdmittedRequest } from "./admittedRequest";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
@@ -59,7 +60,7 @@
         let failure = createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, group);
         for (let attempt = 0;; attempt++) {
             const leftMs = request.deadline - clock.now() - (isOpen ? reserveMs : 0);
-            if (leftMs <= 0) return { result: Err(failure), isOpen };
+            if (leftMs <= 0) return { result: failWith(failure), isOpen };
             const primary = finder.find(group);
             if (primary === undefined) {
                 yield* finder.waitUntil(() => finder.find(group) !== undefined, leftMs);
@@ -86,7 +87,7 @@
         const limitMs = request.deadline - clock.now();
         const isHopeless = (): boolean => finder.hasMoved(request.group.name, primary);
         const result = yield* watchOperation(clock, { limitMs, checkMs: moveCheckMs, isHopeless }, call(primary, limitMs));
-        return result ?? Err(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(limitMs)));
+        return result ?? failWith(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(limitMs)));
     }
 
     private isFinal(failure: Failure): boolean {
--- a/packages/routing/src/readRouter.ts
+++ b/packages/routing/src/readRouter.ts
@@ -1,4 +1,5 @@
 import { Clock } from "@vanillarouter/base/clock";
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { RandomSource } from "@vanillarouter/base/randomSource";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
@@ -84,11 +85,14 @@
         this.obtainProgress(group).record(entry, this.clock.now());
     }
 
-    /** Takes note of an owner's answer. */
-    public recordAnswer(group: string, load: OwnerLoad, elapsedMs: number): void {
+    /** Takes note of an owner's answer to a read that saw everything up to `seen`. */
+    public recordAnswer(group: string, load: OwnerLoad, seen: LogPosition, elapsedMs: number): void {
         const now = this.clock.now();
-        const lagMs = this.obtainProgress(group).measureLag(load.applied, now);
-        this.obtainKnowledge(load.upstream).recordAnswer(load, elapsedMs, lagMs, now);
+        const knowledge = this.obtainKnowledge(load.upstream);
+        const applied = compareLogPositions(seen, load.applied) > 0 ? seen : load.applied;
+        // The read began before its answer arrived, so entries learnt meanwhile say nothing of the replica.
+        const lagMs = this.obtainProgress(group).measureLag(applied, now - knowledge.expectedBaseMs);
+        knowledge.recordAnswer({ ...load, applied }, elapsedMs, Math.max(0, lagMs), now);
     }
 
     private compare(replica: ReadChoice | undefined, primary: ReadChoice | undefined, deadline: number): ReadChoice | undefined {
@@ -96,7 +100,8 @@
         if (replica.expectedMs >= avoidedMs) return primary;
         if (replica.waitMs === 0) return replica;
         if (replica.waitMs > waitShare * (deadline - this.clock.now())) return primary;
-        return replica.expectedMs <= primary.expectedMs + primaryPremiumMs ? replica : primary;
+        const savedMs = Math.max(0, primary.expectedMs - (replica.expectedMs - replica.waitMs));
+        return replica.waitMs <= savedMs + primaryPremiumMs ? replica : primary;
     }
 
     private assess(upstream: UpstreamSettings, isPrimary: boolean, floor: ReadFloor): ReadChoice | undefined {
--- a/packages/routing/src/upstreamKnowledge.ts
+++ b/packages/routing/src/upstreamKnowledge.ts
@@ -20,6 +20,7 @@
     private serviceMs = initialServiceMs;
     private queueDelayMs = 0;
     private heardAt = Number.NEGATIVE_INFINITY;
+    private refusedAt = Number.NEGATIVE_INFINITY;
     private appliedEntry: LogPosition | undefined;
     private lag = 0;
     private pending = 0;
@@ -38,11 +39,26 @@
         return this.appliedEntry;
     }
 
+    /** Time that an answer takes at least, in milliseconds. */
+    public get expectedBaseMs(): number {
+        return this.baseMs;
+    }
+
     /** Expected replication delay in milliseconds. */
     public get lagMs(): number {
         return this.lag;
     }
 
+    /** Time of the last answer or refusal, in milliseconds. */
+    public get lastHeardAt(): number {
+        return Math.max(this.heardAt, this.refusedAt);
+    }
+
+    /** Takes note of a refusal, which shows that the owner is alive. */
+    public recordRefusal(now: number): void {
+        this.refusedAt = now;
+    }
+
     public startRequest(): void {
         this.pending++;
     }
