--- /dev/null
+++ b/packages/bench/src/measure/delayedOwnerLink.ts
@@ -0,0 +1,56 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { ConfirmedPosition } from "@vanillarouter/routing/confirmedPosition";
+import { OutcomeRequest } from "@vanillarouter/routing/outcomeRequest";
+import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
+import { TransactionEnd } from "@vanillarouter/routing/transactionEnd";
+import { TransactionRequest } from "@vanillarouter/routing/transactionRequest";
+import { TransactionStatement } from "@vanillarouter/routing/transactionStatement";
+import { Result } from "ts-results";
+
+type Answer<T> = Operation<Result<T, Failure>>;
+
+/** Link between two VMs that takes a delay each way. */
+export class DelayedOwnerLink implements OwnerLink {
+    private constructor(private readonly clock: Clock, private readonly target: OwnerLink, private readonly drawDelay: () => number) {}
+
+    public static create(clock: Clock, target: OwnerLink, drawDelay: () => number): DelayedOwnerLink {
+        return new DelayedOwnerLink(clock, target, drawDelay);
+    }
+
+    public execute(req: OwnerRequest): Answer<OwnerAnswer> {
+        return this.carry(this.target.execute(req));
+    }
+
+    public begin(req: TransactionRequest): Answer<void> {
+        return this.carry(this.target.begin(req));
+    }
+
+    public executeInTransaction(req: TransactionStatement): Answer<StatementResult> {
+        return this.carry(this.target.executeInTransaction(req));
+    }
+
+    public endTransaction(req: TransactionEnd): Answer<OwnerAnswer> {
+        return this.carry(this.target.endTransaction(req));
+    }
+
+    public resolveOutcome(req: OutcomeRequest): Answer<OwnerAnswer> {
+        return this.carry(this.target.resolveOutcome(req));
+    }
+
+    public confirmPosition(group: string, upstream: string, timeoutMs: number): Answer<ConfirmedPosition> {
+        return this.carry(this.target.confirmPosition(group, upstream, timeoutMs));
+    }
+
+    private *carry<T>(operation: Operation<T>): Operation<T> {
+        yield* sleep(this.clock, this.drawDelay());
+        const result = yield* operation;
+        yield* sleep(this.clock, this.drawDelay());
+        return result;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/measure/fakeUpstreamPeer.ts
@@ -0,0 +1,51 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { Diagnostics } from "@vanillarouter/routing/diagnostics";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
+import { UpstreamPeer } from "@vanillarouter/routing/upstreamPeer";
+import { Err, Ok, Result } from "ts-results";
+import { FakeConnection } from "./fakeConnection";
+import { FakeGroupPeer } from "./fakeGroupPeer";
+import { FakeNetwork } from "./fakeNetwork";
+import { FakeUpstream } from "./fakeUpstream";
+
+const connectMs = 10;
+
+/** Connections of a VM to the fake upstreams of all groups. */
+export class FakeUpstreamPeer implements UpstreamPeer {
+    private constructor(
+        private readonly clock: Clock,
+        private readonly network: FakeNetwork,
+        private readonly zone: string,
+        private readonly upstreams: ReadonlyMap<string, FakeUpstream>,
+    ) {}
+
+    public static create(clock: Clock, network: FakeNetwork, zone: string, upstreams: ReadonlyMap<string, FakeUpstream>): FakeUpstreamPeer {
+        return new FakeUpstreamPeer(clock, network, zone, upstreams);
+    }
+
+    public *connect(settings: UpstreamSettings, timeoutMs: number): Operation<Result<UpstreamConnection, Failure>> {
+        const upstream = this.upstreams.get(settings.id)!;
+        yield* sleep(this.clock, this.network.draw(this.zone, settings.zone));
+        if (upstream.failure === "silent") {
+            yield* sleep(this.clock, timeoutMs);
+            return Err(createFailure(Diagnostics.timedOut, RunOutcome.DidNotRun, timeoutMs));
+        }
+        if (upstream.failure === "crashed") {
+            yield* sleep(this.clock, this.network.draw(this.zone, settings.zone));
+            return Err(createFailure(Diagnostics.connectionLost, RunOutcome.DidNotRun, settings.id, "connection refused"));
+        }
+        yield* sleep(this.clock, connectMs);
+        return Ok(FakeConnection.create(this.network, this.zone, upstream));
+    }
+
+    public openGroupPeer(settings: UpstreamSettings): GroupPeer {
+        return FakeGroupPeer.create(this.clock, this.network, this.zone, this.upstreams.get(settings.id)!);
+    }
+}
--- /dev/null
+++ b/packages/bench/src/measure/measureDeployment.test.ts
@@ -0,0 +1,27 @@
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { deployments } from "./deployments";
+import { measureDeployment } from "./measureDeployment";
+import { makeScenarios } from "./scenarios";
+
+const lengths = { warmUpS: 2, ordinaryS: 2, overloadS: 0.5, failures: 1 };
+
+test("the same seed gives the same measurement, another seed another one", () => {
+    const deployment = deployments[1]!;
+    const scenarios = makeScenarios(deployment, lengths).slice(0, 3);
+    for (const isNaive of [true, false]) {
+        const first = JSON.stringify(measureDeployment(deployment, scenarios, 7, isNaive));
+        assert.equal(JSON.stringify(measureDeployment(deployment, scenarios, 7, isNaive)), first);
+        assert.notEqual(JSON.stringify(measureDeployment(deployment, scenarios, 8, isNaive)), first);
+    }
+});
+
+test("the measurement tells the naive router from ours by what the fakes recorded", () => {
+    const deployment = deployments[1]!;
+    const scenarios = makeScenarios(deployment, lengths).slice(0, 3);
+    const naive = measureDeployment(deployment, scenarios, 7, true);
+    const ours = measureDeployment(deployment, scenarios, 7, false);
+    assert.equal(naive.replicaReadShare, 0);
+    assert.ok(ours.replicaReadShare > 0.9, `replica share ${ours.replicaReadShare}`);
+    for (const count of [ours.lost, ours.doubled, ours.mixed, ours.refusedButRan, ours.ownWriteMissed, ours.tooOld]) assert.equal(count, 0);
+});
--- /dev/null
+++ b/packages/bench/src/measure/naiveFailover.ts
@@ -0,0 +1,59 @@
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { FakeFleet } from "./fakeFleet";
+
+const checkIntervalMs = 1000;
+const checkTimeoutMs = 1000;
+const failuresUntilDead = 3;
+
+/** A failover by a fixed timeout: after three failed checks the first replica that answers is promoted. */
+export class NaiveFailover {
+    private term = 1;
+    private primary: GroupPeer;
+
+    private constructor(
+        private readonly fleet: FakeFleet,
+        private readonly group: string,
+        private readonly peers: readonly GroupPeer[],
+        private readonly onView: (view: GroupView) => void,
+    ) {
+        this.primary = peers[0]!;
+    }
+
+    public static create(fleet: FakeFleet, group: string, zone: string, onView: (view: GroupView) => void): NaiveFailover {
+        const peer = fleet.makePeer(zone);
+        const peers = fleet.listUpstreams(group).map(upstream => peer.openGroupPeer(upstream.settings));
+        return new NaiveFailover(fleet, group, peers, onView);
+    }
+
+    public *run(): Operation<void> {
+        for (let failures = 0;;) {
+            const status = yield* this.primary.readStatus(checkTimeoutMs);
+            failures = status.ok ? 0 : failures + 1;
+            if (failures >= failuresUntilDead) {
+                yield* this.promoteAnother();
+                failures = 0;
+            }
+            yield* sleep(this.fleet.clock, checkIntervalMs);
+        }
+    }
+
+    private *promoteAnother(): Operation<void> {
+        const former = this.primary;
+        this.term++;
+        for (const peer of this.peers) {
+            if (peer === former) continue;
+            const accepted = yield* peer.acceptTerm(this.term, checkTimeoutMs);
+            if (accepted.err || !accepted.val.accepted) continue;
+            yield* peer.promote(this.term, checkTimeoutMs);
+            this.primary = peer;
+            this.onView({ group: this.group, term: this.term, primary: peer.upstream });
+            break;
+        }
+        for (const peer of this.peers) {
+            if (peer !== this.primary) yield* peer.follow(this.term, this.primary.upstream, checkTimeoutMs);
+        }
+    }
+}
--- /dev/null
+++ b/packages/bench/src/measure/naiveSystem.ts
@@ -0,0 +1,64 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Diagnostics } from "@vanillarouter/routing/diagnostics";
+import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
+import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { Err, Ok, Result } from "ts-results";
+import { FakeFleet } from "./fakeFleet";
+import { MeasuredSystem } from "./measuredSystem";
+import { NaivePool } from "./naivePool";
+
+const statementTimeoutMs = 1000;
+const attempts = 3;
+const viewSpreadMs = 20;
+
+/**
+ * A router without the product's decisions: each VM has its own connections to each primary, serves first come, first
+ * served, sends every statement to the primary and repeats what fails under a new id.
+ */
+export class NaiveSystem implements MeasuredSystem {
+    private readonly pools: readonly Map<string, NaivePool>[];
+    private readonly views: readonly Map<string, GroupView>[];
+
+    private constructor(private readonly fleet: FakeFleet) {
+        const { groups, vmZones } = fleet.deployment;
+        this.views = vmZones.map(() => new Map(groups.map(group => [group.name, { group: group.name, term: 1, primary: group.upstreams[0]!.id }])));
+        this.pools = vmZones.map(zone => {
+            const peer = fleet.makePeer(zone);
+            const upstreams = groups.flatMap(group => group.upstreams);
+            return new Map(upstreams.map(upstream => {
+                const size = Math.floor(upstream.maxConnections / vmZones.length);
+                return [upstream.id, NaivePool.create(fleet.clock, peer, upstream, size)];
+            }));
+        });
+    }
+
+    public static create(fleet: FakeFleet): NaiveSystem {
+        return new NaiveSystem(fleet);
+    }
+
+    public *execute(vm: number, session: string, token: string | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
+        let last = createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, req.group);
+        for (let attempt = 0; attempt < attempts; attempt++) {
+            const view = this.views[vm]!.get(req.group)!;
+            const pool = this.pools[vm]!.get(view.primary!)!;
+            const result = yield* pool.run(statementTimeoutMs, connection =>
+                req.sql.startsWith("SELECT")
+                    ? connection.read(req.sql, undefined)
+                    : connection.write(req.sql, view.term, `${req.requestId}#${attempt}`));
+            if (result.ok) return Ok({ result: result.val.result, upstream: view.primary });
+            last = result.val;
+        }
+        // Time is up after the last attempt, so it says that the request did not run.
+        return Err({ ...last, outcome: RunOutcome.DidNotRun });
+    }
+
+    /** Tells every VM of a new primary. */
+    public spreadView(view: GroupView): void {
+        const random = this.fleet.makeRandom(90 + view.term);
+        for (const views of this.views) this.fleet.clock.startTimer(viewSpreadMs * random.next(), () => views.set(view.group, view));
+    }
+}
--- /dev/null
+++ b/packages/bench/src/measure/routedSystem.ts
@@ -0,0 +1,126 @@
+import { Configuration } from "@vanillarouter/base/configuration";
+import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { Failure } from "@vanillarouter/base/failure";
+import { GroupView } from "@vanillarouter/base/groupView";
+import { Operation } from "@vanillarouter/base/operation";
+import { Signal } from "@vanillarouter/base/signal";
+import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { EntryMetrics } from "@vanillarouter/routing/entryMetrics";
+import { EntryService } from "@vanillarouter/routing/entryService";
+import { KnownGroupViews } from "@vanillarouter/routing/knownGroupViews";
+import { OwnerDirectory } from "@vanillarouter/routing/ownerDirectory";
+import { OwnerHost } from "@vanillarouter/routing/ownerHost";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
+import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { Err, Result } from "ts-results";
+import { DelayedOwnerLink } from "./delayedOwnerLink";
+import { FakeFleet } from "./fakeFleet";
+import { MeasuredSystem } from "./measuredSystem";
+
+/** Longest time until another VM hears of a new group view, the delay between zones apart, in milliseconds. */
+const viewSpreadMs = 20;
+const tokenKey = Buffer.from("cluster key of the measurement");
+
+interface Vm {
+    readonly zone: string;
+    readonly views: KnownGroupViews;
+    readonly host: OwnerHost;
+    readonly entry: EntryService;
+    /** Idle connections of callers by session. */
+    readonly idle: Map<string, CallerSession[]>;
+}
+
+/** The product's own classes on the VMs of a fake fleet: entry services, upstream owners and failover coordinators. */
+export class RoutedSystem implements MeasuredSystem {
+    public readonly metrics = EntryMetrics.create();
+    private readonly vms: readonly Vm[];
+    private readonly configuration: ConfigurationSource;
+    private readonly ownerVms = new Map<string, number>();
+
+    private constructor(private readonly fleet: FakeFleet) {
+        const { groups, loads, vmZones } = fleet.deployment;
+        const current: Configuration = {
+            version: 1,
+            classes: new Map(loads.map(load => [load.workClass.name, load.workClass])),
+            accounts: new Map(),
+            groups: new Map(groups.map(group => [group.name, group])),
+        };
+        this.configuration = { current, changed: Signal.create() };
+        this.placeOwners();
+        const links: OwnerLink[] = [];
+        this.vms = vmZones.map((zone, index) => this.createVm(zone, index, links));
+        links.push(...this.vms.map(vm => vm.host));
+        this.vms.forEach((vm, index) => vm.host.setOwned([...this.ownerVms].filter(([, owner]) => owner === index).map(([upstream]) => upstream)));
+    }
+
+    public static create(fleet: FakeFleet): RoutedSystem {
+        return new RoutedSystem(fleet);
+    }
+
+    public *execute(vm: number, session: string, token: string | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
+        const { entry, idle } = this.vms[vm]!;
+        const connections = idle.get(session) ?? [];
+        idle.set(session, connections);
+        const connection = token === undefined ? entry.openSession() : connections.pop() ?? entry.openSession();
+        // An empty token stands for a session that has not written yet; a missing one for a token that was lost.
+        const attached = token === "" ? undefined : connection.attach(token === undefined ? { name: session } : { token });
+        if (attached?.err === true) return Err(attached.val);
+        const result = yield* connection.execute(req);
+        connections.push(connection);
+        return result;
+    }
+
+    /** Passes a group view on to every VM, as the exchange of group views does. */
+    public spreadView(view: GroupView, fromZone: string): void {
+        const { clock, network } = this.fleet;
+        const random = this.fleet.makeRandom(90 + view.term);
+        for (const vm of this.vms) {
+            clock.startTimer(network.draw(fromZone, vm.zone) + viewSpreadMs * random.next(), () => vm.views.learn(view));
+        }
+    }
+
+    /** Each upstream is owned by a VM of its zone; the upstreams of a zone are divided among its VMs. */
+    private placeOwners(): void {
+        const { groups, vmZones } = this.fleet.deployment;
+        const counts = new Map<string, number>();
+        for (const upstream of groups.flatMap(group => group.upstreams)) {
+            const candidates = vmZones.map((zone, index) => ({ zone, index })).filter(vm => vm.zone === upstream.zone);
+            const count = counts.get(upstream.zone) ?? 0;
+            counts.set(upstream.zone, count + 1);
+            this.ownerVms.set(upstream.id, candidates[count % candidates.length]!.index);
+        }
+    }
+
+    private createVm(zone: string, index: number, hosts: readonly OwnerLink[]): Vm {
+        const { clock, deployment } = this.fleet;
+        const views = KnownGroupViews.create(deployment.groups.map(group => ({ group: group.name, term: 1, primary: group.upstreams[0]!.id })));
+        const owners = this.createDirectory(index, hosts);
+        const shared = { clock, random: this.fleet.makeRandom(10 + index), configuration: this.configuration, groups: views, owners };
+        return {
+            zone,
+            views,
+            host: OwnerHost.create({ ...shared, peer: this.fleet.makePeer(zone) }),
+            entry: EntryService.create({ ...shared, tokenKey, metrics: this.metrics }),
+            idle: new Map(),
+        };
+    }
+
+    private createDirectory(from: number, hosts: readonly OwnerLink[]): OwnerDirectory {
+        const { clock, network, deployment } = this.fleet;
+        const links = new Map<number, OwnerLink>();
+        return {
+            findOwner: upstream => {
+                const to = this.ownerVms.get(upstream)!;
+                let link = links.get(to);
+                if (link === undefined) {
+                    const drawDelay = (): number => network.draw(deployment.vmZones[from]!, deployment.vmZones[to]!);
+                    link = from === to ? hosts[to]! : DelayedOwnerLink.create(clock, hosts[to]!, drawDelay);
+                    links.set(to, link);
+                }
+                return link;
+            },
+            isLeaving: () => false,
+        };
+    }
+}
--- /dev/null
+++ b/packages/bench/src/measure/runScenario.ts
@@ -0,0 +1,97 @@
+import { Task } from "@vanillarouter/base/task";
+import { ClassLoad } from "./classLoad";
+import { Deployment } from "./deployment";
+import { FailoverGap } from "./failoverGap";
+import { FakeFleet } from "./fakeFleet";
+import { LoadGenerator } from "./loadGenerator";
+import { MeasuredSystem } from "./measuredSystem";
+import { NaiveFailover } from "./naiveFailover";
+import { NaiveSystem } from "./naiveSystem";
+import { RequestLedger } from "./requestLedger";
+import { RoutedSystem } from "./routedSystem";
+import { Scenario } from "./scenario";
+import { ScenarioResult } from "./scenarioResult";
+
+/** Time after the last arrival in which requests end and logs settle, in milliseconds. */
+const settleMs = 12_000;
+const msPerSecond = 1000;
+
+function createNaiveSystem(fleet: FakeFleet): MeasuredSystem {
+    const system = NaiveSystem.create(fleet);
+    for (const group of fleet.deployment.groups) {
+        Task.start(NaiveFailover.create(fleet, group.name, fleet.deployment.zones[3]!, view => system.spreadView(view)).run());
+    }
+    return system;
+}
+
+function measureMeanMs(load: ClassLoad): number {
+    return load.writeShare * load.writeMs + (1 - load.writeShare) * load.readMs;
+}
+
+/** Requests per second of a class that ask for a multiple of all slots of the fleet. */
+function measureOverload(deployment: Deployment, load: ClassLoad, factor: number): number {
+    const slots = deployment.groups.flatMap(group => group.upstreams).reduce((sum, upstream) => sum + upstream.slots, 0);
+    return (factor * slots * msPerSecond) / measureMeanMs(load);
+}
+
+function scheduleFaults(fleet: FakeFleet, scenario: Scenario): void {
+    for (const { at, group, kind, durationMs } of scenario.failures) {
+        fleet.clock.startTimer(at, () => {
+            const primary = fleet.findPrimary(group);
+            primary?.fail(kind);
+            fleet.clock.startTimer(durationMs, () => primary?.recover());
+        });
+    }
+    for (const { at, group, durationMs } of scenario.lags) {
+        fleet.clock.startTimer(at, () => {
+            const replica = fleet.listUpstreams(group).find(upstream => !upstream.isPrimary)!;
+            replica.isReplicationStopped = true;
+            fleet.clock.startTimer(durationMs, () => replica.isReplicationStopped = false);
+        });
+    }
+}
+
+function measureGap(fleet: FakeFleet, ledger: RequestLedger, group: string, at: number): FailoverGap {
+    const changes = fleet.termChanges.filter(change => change.group === group && change.at >= at);
+    const promoted = changes.find(change => change.change === "promoted");
+    if (promoted === undefined) return { group };
+    const accepted = changes.find(change => change.change === "accepted")!;
+    const firstWrite = ledger.findFirstAcknowledgement(group, promoted.at, promoted.term);
+    return {
+        group,
+        detectionMs: accepted.at - at,
+        electionMs: promoted.at - accepted.at,
+        firstWriteMs: firstWrite === undefined ? undefined : firstWrite - promoted.at,
+        totalMs: firstWrite === undefined ? undefined : firstWrite - at,
+    };
+}
+
+/** Runs one scenario on a fleet of its own and returns what the fakes recorded. */
+export function runScenario(deployment: Deployment, scenario: Scenario, seed: number, isNaive: boolean): ScenarioResult {
+    const fleet = FakeFleet.create(deployment, seed);
+    const ledger = RequestLedger.create(fleet);
+    const system = isNaive ? createNaiveSystem(fleet) : RoutedSystem.create(fleet);
+    deployment.loads.forEach((load, index) => {
+        const generator = LoadGenerator.create(fleet, system, ledger, load, fleet.makeRandom(50 + index), `${load.workClass.name}-`);
+        generator.start(load.requestsPerSecond, scenario.end, scenario.countFrom);
+    });
+    const { overload } = scenario;
+    if (overload !== undefined) {
+        const load = deployment.loads.find(candidate => candidate.workClass.name === overload.className)!;
+        const generator = LoadGenerator.create(fleet, system, ledger, load, fleet.makeRandom(70), "excess-");
+        const rate = measureOverload(deployment, load, overload.factor);
+        fleet.clock.startTimer(scenario.countFrom, () => generator.start(rate, scenario.end, scenario.countFrom));
+    }
+    scheduleFaults(fleet, scenario);
+    fleet.clock.advanceTo(scenario.end + settleMs);
+    return {
+        services: ledger.services,
+        eligibleReads: ledger.eligibleReads,
+        replicaReads: ledger.replicaReads,
+        gaps: scenario.failures.map(failure => measureGap(fleet, ledger, failure.group, failure.at)),
+        ...ledger.audit(),
+        mixed: ledger.mixed,
+        ownWriteMissed: ledger.ownWriteMissed,
+        tooOld: ledger.tooOld,
+    };
+}
--- a/packages/routing/src/entrySession.ts
+++ b/packages/routing/src/entrySession.ts
@@ -4,7 +4,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
-import { Err, Ok, Result } from "ts-results";
+import { Ok, Result } from "ts-results";
 import { AdmittedRequest } from "./admittedRequest";
 import { CallerSession } from "./callerSession";
 import { CallerTransaction } from "./callerTransaction";
