--- a/packages/bench/src/measure/requestLedger.ts
+++ b/packages/bench/src/measure/requestLedger.ts
@@ -119,7 +119,7 @@
         const { maxAgeMs } = sent.load.workClass;
         if (maxAgeMs !== undefined) {
             this.eligibleReads++;
-            if (answer.upstream !== this.fleet.findPrimary(sent.req.group)?.settings.id) this.replicaReads++;
+            if (this.fleet.upstreams.get(answer.upstream ?? "")?.isPrimary === false) this.replicaReads++;
         }
         const isOwnSeen = position >= sent.ownPosition;
         const isYoung = position >= this.findPositionAt(sent.req.group, sent.req.arrivedAt - (maxAgeMs ?? 0));
--- a/packages/bench/src/measure/routedSystem.ts
+++ b/packages/bench/src/measure/routedSystem.ts
@@ -1,9 +1,11 @@
 import { Configuration } from "@vanillarouter/base/configuration";
 import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { Failure } from "@vanillarouter/base/failure";
-import { GroupView } from "@vanillarouter/base/groupView";
 import { Operation } from "@vanillarouter/base/operation";
+import { RandomSource } from "@vanillarouter/base/randomSource";
 import { Signal } from "@vanillarouter/base/signal";
+import { Task } from "@vanillarouter/base/task";
 import { CallerSession } from "@vanillarouter/routing/callerSession";
 import { EntryMetrics } from "@vanillarouter/routing/entryMetrics";
 import { EntryService } from "@vanillarouter/routing/entryService";
@@ -13,6 +15,7 @@
 import { OwnerLink } from "@vanillarouter/routing/ownerLink";
 import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
 import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { FailoverCoordinator } from "@vanillarouter/upstream/failoverCoordinator";
 import { Err, Result } from "ts-results";
 import { DelayedOwnerLink } from "./delayedOwnerLink";
 import { FakeFleet } from "./fakeFleet";
@@ -20,6 +23,8 @@
 
 /** Longest time until another VM hears of a new group view, the delay between zones apart, in milliseconds. */
 const viewSpreadMs = 20;
+/** VMs that coordinate a group; the first acts, the others after a delay. */
+const candidates = 3;
 const tokenKey = Buffer.from("cluster key of the measurement");
 
 interface Vm {
@@ -35,6 +40,7 @@
 export class RoutedSystem implements MeasuredSystem {
     public readonly metrics = EntryMetrics.create();
     private readonly vms: readonly Vm[];
+    private readonly random: RandomSource;
     private readonly configuration: ConfigurationSource;
     private readonly ownerVms = new Map<string, number>();
 
@@ -46,12 +52,15 @@
             accounts: new Map(),
             groups: new Map(groups.map(group => [group.name, group])),
         };
+        this.random = fleet.makeRandom(90);
         this.configuration = { current, changed: Signal.create() };
         this.placeOwners();
         const links: OwnerLink[] = [];
         this.vms = vmZones.map((zone, index) => this.createVm(zone, index, links));
         links.push(...this.vms.map(vm => vm.host));
         this.vms.forEach((vm, index) => vm.host.setOwned([...this.ownerVms].filter(([, owner]) => owner === index).map(([upstream]) => upstream)));
+        for (const vm of this.vms) Task.start(this.exchangeViews(vm));
+        for (const [index, group] of groups.entries()) this.startCoordinators(group, index);
     }
 
     public static create(fleet: FakeFleet): RoutedSystem {
@@ -71,12 +80,27 @@
         return result;
     }
 
-    /** Passes a group view on to every VM, as the exchange of group views does. */
-    public spreadView(view: GroupView, fromZone: string): void {
+    /** Passes each new group view of a VM on to the others, as the exchange of group views does. */
+    private *exchangeViews(from: Vm): Operation<void> {
         const { clock, network } = this.fleet;
-        const random = this.fleet.makeRandom(90 + view.term);
-        for (const vm of this.vms) {
-            clock.startTimer(network.draw(fromZone, vm.zone) + viewSpreadMs * random.next(), () => vm.views.learn(view));
+        for (;;) {
+            const view = yield* from.views.changed.wait();
+            for (const vm of this.vms) {
+                if (vm !== from) clock.startTimer(network.draw(from.zone, vm.zone) + viewSpreadMs * this.random.next(), () => vm.views.learn(view));
+            }
+        }
+    }
+
+    /** Starts the candidates of a group on VMs of different zones. */
+    private startCoordinators(group: DatabaseGroup, index: number): void {
+        const { clock } = this.fleet;
+        for (let place = 0; place < candidates; place++) {
+            const vm = this.vms[(index + place) % this.vms.length]!;
+            const peer = this.fleet.makePeer(vm.zone);
+            const peers = group.upstreams.map(upstream => peer.openGroupPeer(upstream));
+            const random = this.fleet.makeRandom(100 + 10 * index + place);
+            const coordinator = FailoverCoordinator.create({ clock, random, group: group.name, peers, groups: vm.views, place });
+            Task.start(coordinator.run());
         }
     }
 
