--- /dev/null
+++ b/packages/routing/src/firstComeScheduler.ts
@@ -0,0 +1,44 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Signal } from "@vanillarouter/base/signal";
+import { Ok, Result } from "ts-results";
+import { SlotRequest } from "./slotRequest";
+import { StatementScheduler } from "./statementScheduler";
+
+/** First come, first served, without a bound. The naive scheduler that ours is compared with. */
+export class FirstComeScheduler implements StatementScheduler {
+    private running = 0;
+    private readonly waiting = new Set<Signal<void>>();
+
+    private constructor(private readonly slots: number) {}
+
+    public static create(slots: number): FirstComeScheduler {
+        return new FirstComeScheduler(slots);
+    }
+
+    public *run<T>(req: SlotRequest, work: () => Operation<T>): Operation<Result<T, Failure>> {
+        while (this.running >= this.slots) yield* this.awaitTurn();
+        this.running++;
+        try {
+            return Ok(yield* work());
+        }
+        finally {
+            this.running--;
+            this.wakeNext();
+        }
+    }
+
+    private *awaitTurn(): Operation<void> {
+        const turn = Signal.create<void>();
+        this.waiting.add(turn);
+        yield* turn.wait();
+    }
+
+    private wakeNext(): void {
+        for (const turn of this.waiting) {
+            this.waiting.delete(turn);
+            turn.notifyAll();
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/packages/routing/src/overloadExperiment.ts
@@ -0,0 +1,107 @@
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { Operation } from "@vanillarouter/base/operation";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { ExperimentClass } from "./experimentClass";
+import { ExperimentCounts } from "./experimentCounts";
+import { SlotRequest } from "./slotRequest";
+import { StatementScheduler } from "./statementScheduler";
+
+/** Interval at which a class without demand looks for some, in milliseconds. */
+const idleCheckMs = 100;
+
+function drawExponential(random: SeededRandom, mean: number): number {
+    return -Math.log(1 - random.next()) * mean;
+}
+
+/**
+ * Feeds a scheduler with random arrivals on a controlled clock and counts what becomes of them. The same seed gives every
+ * scheduler the same arrivals and the same service times.
+ */
+export class OverloadExperiment {
+    private readonly clock = ManualClock.create();
+    private readonly counts = new Map<string, ExperimentCounts>();
+    private readonly scheduler: StatementScheduler;
+    private isMeasuring = false;
+
+    private constructor(
+        private readonly slots: number,
+        private readonly classes: readonly ExperimentClass[],
+        createScheduler: (clock: ManualClock, slots: number) => StatementScheduler,
+    ) {
+        this.scheduler = createScheduler(this.clock, slots);
+    }
+
+    public static create(
+        slots: number,
+        classes: readonly ExperimentClass[],
+        createScheduler: (clock: ManualClock, slots: number) => StatementScheduler,
+    ): OverloadExperiment {
+        return new OverloadExperiment(slots, classes, createScheduler);
+    }
+
+    /** Runs for `warmUpMs`, then counts the arrivals of `measuredMs`. Returns counts by class name and by `class/franchisee`. */
+    public run(seed: number, warmUpMs: number, measuredMs: number): ReadonlyMap<string, ExperimentCounts> {
+        const tasks = this.classes.map((one, index) => Task.start(this.generate(one, SeededRandom.create(seed * 1000 + index))));
+        this.clock.advanceTo(warmUpMs);
+        this.isMeasuring = true;
+        this.clock.advanceTo(warmUpMs + measuredMs);
+        for (const task of tasks) task.cancel();
+        this.clock.advance(60_000);
+        return this.counts;
+    }
+
+    private *generate(one: ExperimentClass, random: SeededRandom): Operation<void> {
+        for (;;) {
+            const demand = one.demandAt?.(this.clock.now()) ?? one.ordinary;
+            const intervalMs = demand <= 0 ? Infinity : one.meanServiceMs / (demand * this.slots);
+            const waitMs = drawExponential(random, intervalMs);
+            yield* sleep(this.clock, Math.min(waitMs, idleCheckMs));
+            if (waitMs <= idleCheckMs) Task.start(this.handle(one, this.drawService(one, random), this.drawFranchisee(one, random)));
+        }
+    }
+
+    private drawService(one: ExperimentClass, random: SeededRandom): number {
+        const isLong = random.next() < (one.longFraction ?? 0);
+        const service = one.meanServiceMs / 2 + drawExponential(random, one.meanServiceMs / 2);
+        return isLong ? service * (one.longFactor ?? 1) : service;
+    }
+
+    private drawFranchisee(one: ExperimentClass, random: SeededRandom): string {
+        const count = one.franchisees ?? 50;
+        const flood = one.floodFactor ?? 1;
+        const point = random.next() * (count - 1 + flood) - flood;
+        return point < 0 ? "f0" : `f${1 + Math.floor(point)}`;
+    }
+
+    private *handle(one: ExperimentClass, serviceMs: number, franchisee: string): Operation<void> {
+        const arrivedAt = this.clock.now();
+        const deadline = arrivedAt + one.targetMs;
+        const req: SlotRequest = { className: one.name, rank: one.rank, franchisee, arrivedAt, deadline, afterSlotMs: 0, continuesWork: false };
+        const entries = this.isMeasuring ? [this.obtain(one.name), this.obtain(`${one.name}/${franchisee}`)] : [];
+        let hasRun = false;
+        const clock = this.clock;
+        const result = yield* this.scheduler.run(req, function*() {
+            hasRun = true;
+            yield* sleep(clock, serviceMs);
+        });
+        const isInTime = clock.now() <= deadline;
+        for (const entry of entries) {
+            entry.offered++;
+            if (!result.ok) entry.refused++;
+            else if (isInTime) entry.inTime++;
+            else entry.late++;
+            if (!result.ok && hasRun) entry.refusedAfterRun++;
+        }
+    }
+
+    private obtain(key: string): ExperimentCounts {
+        let entry = this.counts.get(key);
+        if (entry === undefined) {
+            entry = { offered: 0, inTime: 0, late: 0, refused: 0, refusedAfterRun: 0 };
+            this.counts.set(key, entry);
+        }
+        return entry;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/overloadExperimentMain.ts
@@ -0,0 +1,37 @@
+import { writeSync } from "node:fs";
+import { FirstComeScheduler } from "./firstComeScheduler";
+import { OverloadExperiment } from "./overloadExperiment";
+import { OverloadScenarios } from "./overloadScenarios";
+import { SlotScheduler } from "./slotScheduler";
+import { StatementScheduler } from "./statementScheduler";
+import { ManualClock } from "@vanillarouter/base/manualClock";
+
+/** Arrivals before this time are not counted, in milliseconds. */
+const warmUpMs = 31_000;
+const measuredMs = 20_000;
+
+const schedulers: Readonly<Record<string, (clock: ManualClock, slots: number) => StatementScheduler>> = {
+    naive: (_, slots) => FirstComeScheduler.create(slots),
+    ours: (clock, slots) => SlotScheduler.create(clock, slots),
+};
+
+function percent(part: number, whole: number): string {
+    return whole === 0 ? "-" : (100 * part / whole).toFixed(2);
+}
+
+/** Prints, for each scenario and scheduler, the share of each class's requests that was answered in time. */
+const seed = Number(process.argv[2] ?? 1);
+const wanted = process.argv[3] ?? "";
+for (const [name, { slots, classes }] of Object.entries(OverloadScenarios)) {
+    if (!name.includes(wanted)) continue;
+    for (const [label, createScheduler] of Object.entries(schedulers)) {
+        const startedAt = performance.now();
+        const counts = OverloadExperiment.create(slots, classes, createScheduler).run(seed, warmUpMs, measuredMs);
+        const parts = classes.map(one => {
+            const entry = counts.get(one.name)!;
+            return `${one.name} ${percent(entry.inTime, entry.offered)}% (late ${percent(entry.late, entry.offered)}%)`;
+        });
+        const seconds = ((performance.now() - startedAt) / 1000).toFixed(1);
+        writeSync(1, `${name} | ${label} | ${parts.join(" | ")} | ${seconds} s\n`);
+    }
+}
--- a/packages/routing/src/slotScheduler.ts
+++ b/packages/routing/src/slotScheduler.ts
@@ -15,6 +15,7 @@
 import { SlotRequest } from "./slotRequest";
 import { SlotTicket } from "./slotTicket";
 import { SlotTicketState } from "./slotTicketState";
+import { StatementScheduler } from "./statementScheduler";
 
 /** Waiting statements of one upstream. Bounds memory; at a few milliseconds each it is more than any target can wait for. */
 const maxWaiting = 1_024;
@@ -35,7 +36,7 @@
  * go before the work of classes in excess of it. Urgent work counts as within its share as long as urgent demand as a
  * whole fits the upstream, because urgent targets must then hold whatever else arrives.
  */
-export class SlotScheduler {
+export class SlotScheduler implements StatementScheduler {
     private readonly classes = new Map<string, ClassState>();
     private readonly running = new Set<SlotTicket>();
     private readonly shares: OrdinaryShares;
