--- a/packages/routing/src/entryReads.ts
+++ b/packages/routing/src/entryReads.ts
@@ -10,6 +10,7 @@
 import { AdmittedRequest } from "./admittedRequest";
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
+import { measureReturnMargin } from "./measureReturnMargin";
 import { OwnerAnswer } from "./ownerAnswer";
 import { PrimaryCaller } from "./primaryCaller";
 import { ReadChoice } from "./readChoice";
@@ -124,7 +125,7 @@
             franchisee: req.franchisee,
             kind: StatementKind.Read,
             sql: req.sql,
-            timeoutMs,
+            timeoutMs: timeoutMs - measureReturnMargin(timeoutMs),
             floor: floor.entry,
             maxAgeMs: workClass.maxAgeMs ?? 0,
             repeatable: true,
--- a/packages/routing/src/primaryCaller.ts
+++ b/packages/routing/src/primaryCaller.ts
@@ -8,6 +8,7 @@
 import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
 import { KnownPrimary } from "./knownPrimary";
+import { measureReturnMargin } from "./measureReturnMargin";
 import { watchOperation } from "./watchOperation";
 
 /** Interval at which a request in flight checks that its primary and owner are still the known ones, in milliseconds. */
@@ -86,7 +87,8 @@
         const { clock, finder } = this.context;
         const limitMs = request.deadline - clock.now();
         const isHopeless = (): boolean => finder.hasMoved(request.group.name, primary);
-        const result = yield* watchOperation(clock, { limitMs, checkMs: moveCheckMs, isHopeless }, call(primary, limitMs));
+        const timeoutMs = limitMs - measureReturnMargin(limitMs);
+        const result = yield* watchOperation(clock, { limitMs, checkMs: moveCheckMs, isHopeless }, call(primary, timeoutMs));
         return result ?? failWith(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(limitMs)));
     }
 
