Give ordinary shares headroom and reuse refusals

Cause: shares equal to mean demand leave no room for random variation, so a class is in excess by chance and loses to the surge. Shares are now 1.25 times the mean. Cause: Err of ts-results takes a stack trace for each refusal. One refusal a class and reason is kept.

--- a/packages/routing/src/ordinaryShares.ts
+++ b/packages/routing/src/ordinaryShares.ts
@@ -19,6 +19,8 @@
 const declinePerMs = Math.LN2 / 86_400_000;
 /** Part of the slot time that shares may claim together; the rest absorbs statements of unusual length. */
 const claimableFraction = 0.95;
+/** Share as a multiple of the mean demand; without room for its variation a class would often be in excess by chance. */
+const headroom = 1.25;
 /** Smallest share of a class that is in use, as part of the slot time. */
 const smallestFraction = 0.01;
 /** Slot time that a class may save up, as time at its rate, in milliseconds. */
@@ -29,7 +31,7 @@
     readonly short: DecayingRate;
     readonly startedAt: number;
     isLearned: boolean;
-    /** Slots in ordinary use: milliseconds of slot time per millisecond. */
+    /** Slots in ordinary use, with headroom: milliseconds of slot time per millisecond. */
     share: number;
     /** Slot time that the class may use and still be within its share, in milliseconds. */
     credit: number;
@@ -137,7 +139,7 @@
     private updateLearning(now: number): void {
         const learning = [...this.classes.values()].filter(entry => !entry.isLearned);
         if (learning.length === 0) return;
-        const parts = divideFairly(learning.map(entry => entry.recent.readCorrected(now)), this.measureUnclaimed());
+        const parts = divideFairly(learning.map(entry => entry.recent.readCorrected(now) * headroom), this.measureUnclaimed());
         learning.forEach((entry, index) => {
             entry.share = parts[index]!;
             entry.isLearned = now - entry.startedAt >= learningMs;
@@ -145,7 +147,7 @@
     }
 
     private moveShare(entry: ClassShare, now: number, elapsed: number, isOverloaded: boolean): void {
-        const demand = entry.recent.read(now);
+        const demand = entry.recent.read(now) * headroom;
         if (demand < entry.share) {
             entry.share = Math.max(demand, entry.share * Math.exp(-declinePerMs * elapsed));
             return;
--- a/packages/routing/src/overloadScenarios.ts
+++ b/packages/routing/src/overloadScenarios.ts
@@ -35,7 +35,7 @@
 const fromStart = (capacities: number): Partial<ExperimentClass> => ({ demandAt: () => capacities });
 
 /** The loads on one upstream that schedulers are measured with, by name: slots and classes. */
-export const OverloadScenarios: Readonly<Record<string, { readonly slots: number; readonly classes: readonly ExperimentClass[] }>> = {
+export const OverloadScenarios: Readonly<Record<string, { readonly slots: number; readonly classes: readonly ExperimentClass[]; }>> = {
     "racja ordinary": { slots: 5, classes: racja },
     "racja catalogue x3": { slots: 5, classes: surge(racja, "catalogue", 3) },
     "racja catalogue x10": { slots: 5, classes: surge(racja, "catalogue", 10) },
--- a/packages/routing/src/slotScheduler.ts
+++ b/packages/routing/src/slotScheduler.ts
@@ -20,6 +20,9 @@
 /** Waiting statements of one upstream. Bounds memory; at a few milliseconds each it is more than any target can wait for. */
 const maxWaiting = 1_024;
 
+/** Refusals kept for reuse. */
+const maxRefusals = 1_000;
+
 const rankOrder: Readonly<Record<Rank, number>> = { [Rank.Urgent]: 0, [Rank.Standard]: 1, [Rank.Background]: 2 };
 
 interface ClassState {
@@ -42,6 +45,8 @@
     private readonly shares: OrdinaryShares;
     private readonly overload: OverloadMonitor;
     private readonly longStatements: LongStatementLimit;
+    /** One refusal for each class and reason, as making an `Err` costs a stack trace and an overload refuses thousands a second. */
+    private readonly refusals = new Map<string, Err<Failure>>();
     private waiting = 0;
     private order = 0;
 
@@ -85,7 +90,7 @@
         const ticket = this.enqueue(req);
         try {
             yield* ticket.wait();
-            if (ticket.refusal !== undefined) return Err(ticket.refusal);
+            if (ticket.refusal !== undefined) return ticket.refusal;
             const value = yield* work();
             this.recordServiceTime(ticket);
             return Ok(value);
@@ -123,7 +128,7 @@
         const slack = ticket.latestStart - this.clock.now();
         if (this.measureWorkAhead(ticket, state, false) / this.slots > slack) this.overload.noteMiss(ticket.req.rank);
         const rate = this.estimateRate(ticket, state);
-        if (this.measureWorkAhead(ticket, state, true) / rate > slack) ticket.refuse(this.createRefusal(ticket));
+        if (this.measureWorkAhead(ticket, state, true) / rate > slack) ticket.refuse(this.findRefusal(ticket));
     }
 
     /** Expected slot time of what runs before a new ticket, by rank alone or with ordinary shares, in milliseconds. */
@@ -235,7 +240,7 @@
         if (ticket.state !== SlotTicketState.Waiting) return;
         this.overload.noteMiss(ticket.req.rank);
         this.discard(ticket);
-        ticket.refuse(this.createRefusal(ticket));
+        ticket.refuse(this.findRefusal(ticket));
     }
 
     private shedOne(): void {
@@ -254,11 +259,23 @@
         this.waiting--;
     }
 
-    private createRefusal(ticket: SlotTicket): Failure {
+    private findRefusal(ticket: SlotTicket): Err<Failure> {
         const state = this.obtainClass(ticket.req.className);
-        if (this.readLevel(state) > 0) return createFailure(Diagnostics.shareExceeded, RunOutcome.DidNotRun, state.name);
+        if (this.readLevel(state) > 0) {
+            return this.obtainRefusal(`share ${state.name}`, () => createFailure(Diagnostics.shareExceeded, RunOutcome.DidNotRun, state.name));
+        }
         const target = Math.round(ticket.req.deadline - ticket.req.arrivedAt);
-        return createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, target);
+        return this.obtainRefusal(`target ${target}`, () => createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, target));
+    }
+
+    private obtainRefusal(key: string, create: () => Failure): Err<Failure> {
+        let refusal = this.refusals.get(key);
+        if (refusal === undefined) {
+            refusal = Err(create());
+            if (this.refusals.size >= maxRefusals) this.refusals.clear();
+            this.refusals.set(key, refusal);
+        }
+        return refusal;
     }
 
     private obtainClass(name: string): ClassState {
--- a/packages/routing/src/slotTicket.ts
+++ b/packages/routing/src/slotTicket.ts
@@ -1,6 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
+import { Err } from "ts-results";
 import { SlotRequest } from "./slotRequest";
 import { SlotTicketState } from "./slotTicketState";
 
@@ -14,7 +15,7 @@
  */
 export class SlotTicket {
     public state = SlotTicketState.Waiting;
-    public refusal: Failure | undefined;
+    public refusal: Err<Failure> | undefined;
     public grantedAt = 0;
     /** Start tag of fair queueing within the class, in milliseconds of slot time. */
     public startTag = 0;
@@ -41,9 +42,9 @@
         this.settle();
     }
 
-    public refuse(failure: Failure): void {
+    public refuse(refusal: Err<Failure>): void {
         this.state = SlotTicketState.Refused;
-        this.refusal = failure;
+        this.refusal = refusal;
         this.settle();
     }
 
