Test roles, configuration replica and nodes; fix pulls by zones without the store

A zone that the platform did not reach never pulled from other zones: equal marks from its own members reset the time since which marks differed. The time is now kept for each mark. The test of that case failed before and passes now.

--- /dev/null
+++ b/packages/vm/src/configurationSpread.test.ts
@@ -0,0 +1,197 @@
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { ConfigurationReplica } from "./configurationReplica";
+import { MemoryCluster } from "./testing/memoryCluster";
+
+const inEffectMs = 11_000;
+
+function formatClasses(targetMs: number): string {
+    const value = { name: "orders", rank: "urgent", targetMs, readOnly: false };
+    return JSON.stringify({ changeId: `change-${targetMs}`, items: { orders: { changeId: `change-${targetMs}`, value } } });
+}
+
+function writeTarget(cluster: MemoryCluster, targetMs: number): void {
+    cluster.platform.write(configurationKeys.formatShardKey("classes"), formatClasses(targetMs));
+}
+
+function readTargets(cluster: MemoryCluster): readonly (number | undefined)[] {
+    return [...cluster.nodes.values()].map(entry => entry.node.configuration.current?.classes.get("orders")?.targetMs);
+}
+
+/** Starts a cluster and records every version that a VM goes through. */
+function startCluster(seed: number, zones: number, size: number): { readonly cluster: MemoryCluster; readonly readReverts: () => number; } {
+    const cluster = MemoryCluster.create(seed);
+    cluster.startZones(zones, size);
+    writeTarget(cluster, 100);
+    cluster.clock.advance(8_000);
+    let reverts = 0;
+    const versions = new Map<string, number>();
+    const check = (): void => {
+        for (const [id, entry] of cluster.nodes) {
+            const version = entry.node.configuration.current?.version ?? -1;
+            if (version < (versions.get(id) ?? -1)) reverts++;
+            versions.set(id, version);
+        }
+        cluster.clock.startTimer(50, check);
+    };
+    check();
+    return { cluster, readReverts: () => reverts };
+}
+
+function seeded(body: (seed: number) => void, runs: number): void {
+    fc.assert(fc.property(fc.integer({ min: 1, max: 1_000_000 }), body), { seed: 20261204, numRuns: runs, endOnFailure: true });
+}
+
+/** The naive replica: whatever arrives last is in force. */
+class LastArrivalReplica {
+    public version = 0;
+    public accept(shard: ConfigurationShard): void {
+        this.version = shard.version;
+    }
+}
+
+test("P9: no order of arrival takes a shard back; the last arrival wins in the naive replica (guards against stale reads and late pushes)", () => {
+    let naiveReverts = 0;
+    fc.assert(
+        fc.property(fc.array(fc.integer({ min: 1, max: 20 }), { minLength: 2, maxLength: 40 }), arrivals => {
+            const replica = ConfigurationReplica.create();
+            const naive = new LastArrivalReplica();
+            let highest = 0;
+            for (const version of arrivals) {
+                const shard = { name: "classes", version, changeId: String(version), items: new Map() };
+                replica.accept(shard);
+                if (version < naive.version) naiveReverts++;
+                naive.accept(shard);
+                highest = Math.max(highest, version);
+                assert.equal(replica.find("classes")?.version, highest);
+            }
+        }),
+        { seed: 9, numRuns: 200 },
+    );
+    assert.ok(naiveReverts > 0, "the naive replica must fail");
+});
+
+test("P9: a change is in effect on every VM of four zones within 11 s (guards against VMs that only the store reaches)", () => {
+    seeded(seed => {
+        const { cluster, readReverts } = startCluster(seed, 4, 8);
+        assert.ok(readTargets(cluster).every(target => target === 100));
+        writeTarget(cluster, 200);
+        cluster.clock.advance(inEffectMs);
+        assert.ok(readTargets(cluster).every(target => target === 200));
+        assert.equal(readReverts(), 0);
+        cluster.close();
+    }, 5);
+});
+
+test("P9: stale reads, slow answers and outages in any order never take a VM back (guards against believing the store's last answer)", () => {
+    seeded(seed => {
+        const { cluster, readReverts } = startCluster(seed, 2, 4);
+        const random = SeededRandom.create(seed);
+        let target = 100;
+        for (let step = 0; step < 12; step++) {
+            const choice = Math.floor(random.next() * 5);
+            if (choice === 0) cluster.platform.isDown = !cluster.platform.isDown;
+            if (choice === 1) cluster.platform.setStale([...cluster.nodes.keys()].filter(() => random.next() < 0.5));
+            if (choice === 2) cluster.platform.delayMs = 1_500 * random.next();
+            if (choice === 3) cluster.partition(random.next() < 0.5 ? ["z0"] : []);
+            writeTarget(cluster, ++target);
+            cluster.clock.advance(4_000 * random.next());
+        }
+        cluster.platform.isDown = false;
+        cluster.platform.setStale([]);
+        cluster.platform.delayMs = 3;
+        cluster.partition([]);
+        cluster.clock.advance(inEffectMs);
+        assert.deepEqual(new Set(readTargets(cluster)), new Set([target]));
+        assert.equal(readReverts(), 0);
+        cluster.close();
+    }, 15);
+});
+
+test("a change that nothing disturbs is pushed as a difference, and no VM pulls whole shards (guards against traffic that grows with the configuration)", () => {
+    const { cluster } = startCluster(12, 2, 10);
+    const countPulls = (): number => [...cluster.nodes.values()].reduce((sum, entry) => sum + entry.peers.pulls, 0);
+    const before = countPulls();
+    writeTarget(cluster, 300);
+    cluster.clock.advance(inEffectMs);
+    assert.ok(readTargets(cluster).every(target => target === 300));
+    assert.equal(countPulls(), before);
+    cluster.close();
+});
+
+test("P9: a VM that starts in an outage of the store gets the configuration from its neighbours (guards against a VM that cannot serve)", () => {
+    const { cluster } = startCluster(3, 2, 4);
+    cluster.platform.isDown = true;
+    const { node } = cluster.start("z0-9");
+    cluster.clock.advance(5_000);
+    assert.equal(node.configuration.current?.classes.get("orders")?.targetMs, 100);
+    cluster.kill("z0-0");
+    const restarted = cluster.start("z0-0");
+    cluster.clock.advance(5_000);
+    assert.equal(restarted.node.configuration.current?.classes.get("orders")?.targetMs, 100);
+    cluster.close();
+});
+
+test("P9: changes go on while relays die (guards against a zone that hears nothing until a lease runs out)", () => {
+    const { cluster } = startCluster(5, 2, 8);
+    for (let round = 1; round <= 3; round++) {
+        const relay = [...cluster.nodes.values()].find(entry => entry.node.roles.isRelay())!;
+        const id = relay.node.membership.description.id;
+        cluster.kill(id);
+        writeTarget(cluster, 100 + round);
+        cluster.clock.advance(inEffectMs);
+        assert.deepEqual(new Set(readTargets(cluster)), new Set([100 + round]));
+        cluster.start(id);
+        cluster.clock.advance(3_000);
+    }
+    cluster.close();
+});
+
+test("P9: a zone that the platform does not reach gets changes from other zones (guards against an isolated zone that stays behind)", () => {
+    const { cluster } = startCluster(6, 3, 4);
+    const reach = cluster.network.canReach.bind(cluster.network);
+    cluster.network.canReach = (first, second) => reach(first, second) && !(second === "platform" && first.startsWith("z2"));
+    cluster.clock.advance(70_000);
+    writeTarget(cluster, 150);
+    cluster.clock.advance(inEffectMs);
+    assert.deepEqual(new Set(readTargets(cluster)), new Set([150]));
+    cluster.close();
+});
+
+test("P9: a zone cut off from everything serves what it has, and has the change within 11 s after it is back (guards against a zone that stays behind)", () => {
+    const { cluster, readReverts } = startCluster(6, 3, 4);
+    cluster.partition(["z2"]);
+    writeTarget(cluster, 150);
+    cluster.clock.advance(90_000);
+    assert.deepEqual(new Set(readTargets(cluster)), new Set([150, 100]));
+    cluster.partition([]);
+    cluster.clock.advance(inEffectMs);
+    assert.deepEqual(new Set(readTargets(cluster)), new Set([150]));
+    assert.equal(readReverts(), 0);
+    cluster.close();
+});
+
+test("a malformed shard in the store is not taken over (guards against a configuration that stops every VM)", () => {
+    const { cluster } = startCluster(7, 1, 4);
+    cluster.platform.write(configurationKeys.formatShardKey("classes"), "{\"changeId\":\"x\",\"items\":{\"orders\":{\"changeId\":\"x\",\"value\":{}}}}");
+    cluster.clock.advance(5_000);
+    assert.deepEqual(new Set(readTargets(cluster)), new Set([100]));
+    writeTarget(cluster, 180);
+    cluster.clock.advance(inEffectMs);
+    assert.deepEqual(new Set(readTargets(cluster)), new Set([180]));
+    cluster.close();
+});
+
+test("watches of the store do not grow with the size of a zone (guards against one watch for each VM)", () => {
+    const { cluster } = startCluster(8, 2, 12);
+    assert.equal(cluster.platform.waitingWatches, 2 * 3 * 18);
+    const before = cluster.platform.calls.get("watch")!;
+    cluster.clock.advance(60_000);
+    const perSecond = (cluster.platform.calls.get("watch")! - before) / 60;
+    assert.ok(perSecond < 2 * 3 * 18 / 30, `${perSecond} watches per second`);
+    cluster.close();
+});
--- a/packages/vm/src/configurationSpread.ts
+++ b/packages/vm/src/configurationSpread.ts
@@ -26,6 +26,7 @@
 const pullIntervalMs = 1_000;
 const freshPullIntervalMs = 100;
 const maxPushes = 16;
+const maxMarks = 64;
 
 /**
  * Spreads the configuration between VMs: news are pushed as differences along fixed neighbours, and whoever sees
@@ -33,7 +34,10 @@
  */
 export class ConfigurationSpread {
     private readonly tasks: TaskGroup;
-    private differsSince: number | undefined;
+    /** Marks that differ from this VM's, with the time when each was first seen; emptied by every change of its own. */
+    private readonly differingSince = new Map<number, number>();
+    /** Marks of VMs that had nothing newer. */
+    private readonly olderMarks = new Set<number>();
     private lastPullAt: number | undefined;
     private pulling = false;
 
@@ -49,6 +53,8 @@
     public accept(shard: ConfigurationShard): boolean {
         const delta = this.options.replica.accept(shard);
         if (delta === undefined) return false;
+        this.differingSince.clear();
+        this.olderMarks.clear();
         if (delta.fromVersion >= 0) this.push(delta);
         return true;
     }
@@ -67,18 +73,17 @@
         if (missing && sender !== undefined) this.startPull(sender);
     }
 
-    /** Notes the mark of another VM's configuration, and pulls when it has differed for a while. */
+    /** Notes the mark of another VM's configuration, and pulls when the same other mark has been around for a while. */
     public noteMark(sender: VmDescription, mark: number): void {
         const { clock, replica } = this.options;
-        if (mark === replica.mark || mark === 0) {
-            if (mark !== 0) this.differsSince = undefined;
-            return;
-        }
+        if (mark === replica.mark || mark === 0 || this.olderMarks.has(mark)) return;
         const now = clock.now();
-        this.differsSince ??= now;
-        if (replica.isComplete && now - this.differsSince < pushGraceMs) return;
+        const since = this.differingSince.get(mark) ?? now;
+        if (this.differingSince.size >= maxMarks) this.differingSince.clear();
+        this.differingSince.set(mark, since);
+        if (replica.isComplete && now - since < pushGraceMs) return;
         const intervalMs = replica.isComplete ? pullIntervalMs : freshPullIntervalMs;
-        if (this.lastPullAt === undefined || now - this.lastPullAt >= intervalMs) this.startPull(sender);
+        if (this.lastPullAt === undefined || now - this.lastPullAt >= intervalMs) this.startPull(sender, mark);
     }
 
     /** Cancels transfers that are under way. */
@@ -98,20 +103,23 @@
         for (const vm of this.options.listNeighbours()) this.tasks.start(this.options.peers.pushShards(vm, [delta]));
     }
 
-    private startPull(source: VmDescription): void {
+    private startPull(source: VmDescription, mark?: number): void {
         if (this.pulling) return;
         this.pulling = true;
         this.lastPullAt = this.options.clock.now();
-        this.tasks.start(this.pull(source));
+        this.tasks.start(this.pull(source, mark));
     }
 
-    private *pull(source: VmDescription): Operation<void> {
+    private *pull(source: VmDescription, mark: number | undefined): Operation<void> {
         const { peers, replica } = this.options;
         try {
             const digest = yield* peers.readDigest(source);
             if (digest.err) return;
             const names = replica.findOlder(digest.val);
-            if (names.length === 0) return;
+            if (names.length === 0) {
+                if (mark !== undefined && this.olderMarks.size < maxMarks) this.olderMarks.add(mark);
+                return;
+            }
             const documents = yield* peers.pullShards(source, names);
             if (documents.err) return;
             for (const document of documents.val) {
--- a/packages/vm/src/links.test.ts
+++ b/packages/vm/src/links.test.ts
@@ -16,11 +16,11 @@
 import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
 import { test } from "node:test";
 import { Err, Ok, Result } from "ts-results";
-import { createTestCertificates } from "./createTestCertificates";
 import { Diagnostics } from "./diagnostics";
 import { LinkPool } from "./linkPool";
 import { LinkServer } from "./linkServer";
 import { PeerServices } from "./peerServices";
+import { createTestCertificates } from "./testing/createTestCertificates";
 import { TlsSettings } from "./tlsSettings";
 
 const clock = SystemClock.create();
--- a/packages/vm/src/membership.test.ts
+++ b/packages/vm/src/membership.test.ts
@@ -8,8 +8,8 @@
 import { HeartbeatKind } from "./heartbeatKind";
 import { Membership } from "./membership";
 import { MemberState } from "./memberState";
-import { MemoryNetwork } from "./memoryNetwork";
-import { PausableClock } from "./pausableClock";
+import { MemoryNetwork } from "./testing/memoryNetwork";
+import { PausableClock } from "./testing/pausableClock";
 
 const worstDetectionMs = 4_000;
 const codec = HeartbeatCodec.create("key of the tests");
@@ -132,8 +132,11 @@
     const zone = Zone.create(6, 3);
     const send = zone.network.canReach.bind(zone.network);
     zone.network.canReach = (first, second) => send(first, second) && !(first === "vm1" && second === "vm2") && !(first === "vm2" && second === "vm1");
+    let suspicions = 0;
+    for (const node of zone.nodes.values()) node.membership.table.onChange(member => suspicions += Number(member.state === MemberState.Suspect));
     zone.clock.advance(30_000);
     assert.equal(zone.countEligible("vm2"), 6);
+    assert.equal(suspicions, 0);
 });
 
 test("role handover: a paused VM that resumes may not use its roles before another member has answered it (guards against two owners)", () => {
--- a/packages/vm/src/createTestCertificates.ts
+++ b/packages/vm/src/testing/createTestCertificates.ts
@@ -1,5 +1,5 @@
 import { md, pki } from "node-forge";
-import { TlsSettings } from "./tlsSettings";
+import { TlsSettings } from "../tlsSettings";
 
 const keyBits = 2048;
 const dayMs = 86_400_000;
--- /dev/null
+++ b/packages/vm/src/testing/memoryCluster.ts
@@ -0,0 +1,101 @@
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { Task } from "@vanillarouter/base/task";
+import { KnownGroupViews } from "@vanillarouter/routing/knownGroupViews";
+import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { SharedRates } from "@vanillarouter/routing/sharedRates";
+import { VmNode } from "../vmNode";
+import { MemoryNetwork } from "./memoryNetwork";
+import { MemoryPeers } from "./memoryPeers";
+import { MemoryPlatform } from "./memoryPlatform";
+import { MemoryPlatformClient } from "./memoryPlatformClient";
+import { PausableClock } from "./pausableClock";
+
+interface ClusterNode {
+    readonly node: VmNode;
+    readonly clock: PausableClock;
+    readonly peers: MemoryPeers;
+    readonly task: Task<unknown>;
+    /** Rates that others sent to this VM. */
+    readonly learnedRates: SharedRates[];
+    /** Rates that this VM measured as owner. */
+    ownRates: readonly SharedRates[];
+    readonly views: KnownGroupViews;
+}
+
+/** VMs of several zones with everything between them in memory, on a controlled clock. A host has the id of its VM. */
+export class MemoryCluster {
+    public readonly nodes = new Map<string, ClusterNode>();
+    public readonly clock = ManualClock.create();
+    public readonly platform = MemoryPlatform.create(this.clock);
+    public readonly network: MemoryNetwork;
+    private starts = 0;
+
+    private constructor(private readonly seed: number) {
+        this.network = MemoryNetwork.create(this.clock, SeededRandom.create(seed));
+    }
+
+    public static create(seed: number): MemoryCluster {
+        return new MemoryCluster(seed);
+    }
+
+    /** Starts `size` VMs in each of `zones` zones; `z0-0` is the first VM of the first zone. */
+    public startZones(zones: number, size: number): void {
+        for (let zone = 0; zone < zones; zone++) {
+            for (let index = 0; index < size; index++) this.start(`z${zone}-${index}`);
+        }
+    }
+
+    /** Starts a VM that knows the first VM of every zone as seeds. */
+    public start(id: string): ClusterNode {
+        const zone = id.split("-")[0]!;
+        const clock = PausableClock.create(this.clock);
+        const peers = MemoryPeers.create(clock, this.network, id, host => this.nodes.get(host)?.node.services);
+        const platform = MemoryPlatformClient.create(this.platform, clock, id, () => this.network.canReach(id, "platform"));
+        const learnedRates: SharedRates[] = [];
+        const views = KnownGroupViews.create();
+        const entry = { clock, peers, learnedRates, views, ownRates: [] as readonly SharedRates[] };
+        const node = VmNode.create({
+            settings: {
+                id,
+                zone,
+                host: id,
+                heartbeatPort: 1,
+                linkPort: 1,
+                clusterKey: "key of the tests",
+                tls: { certificate: "", privateKey: "", authority: "" },
+                seeds: ["z0-0", "z1-0", "z2-0", "z3-0"].map(host => ({ host, heartbeatPort: 1 })),
+                incarnation: ++this.starts,
+            },
+            transport: this.network.open(id),
+            peers,
+            store: platform,
+            list: platform,
+            clock,
+            random: SeededRandom.create(this.seed * 1_000 + this.starts),
+            createRoles: () => ({
+                owner: {} as OwnerLink,
+                groups: views,
+                rates: { collect: () => entry.ownRates, learn: rates => learnedRates.push(...rates) },
+            }),
+        });
+        const started = Object.assign(entry, { node, task: Task.start(node.run()) });
+        this.nodes.set(id, started);
+        return started;
+    }
+
+    public kill(id: string): void {
+        this.nodes.get(id)?.task.cancel();
+        this.nodes.delete(id);
+        this.network.remove(id);
+    }
+
+    /** Cuts the VMs whose ids begin with one of the prefixes off from the others and from the platform; an empty list heals everything. */
+    public partition(prefixes: readonly string[]): void {
+        for (const id of this.nodes.keys()) this.network.setPart(prefixes.some(prefix => id.startsWith(prefix)) ? 1 : 0, [id]);
+    }
+
+    public close(): void {
+        for (const id of [...this.nodes.keys()]) this.kill(id);
+    }
+}
--- a/packages/vm/src/memoryNetwork.ts
+++ b/packages/vm/src/testing/memoryNetwork.ts
@@ -1,6 +1,6 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { RandomSource } from "@vanillarouter/base/randomSource";
-import { DatagramTransport } from "./datagramTransport";
+import { DatagramTransport } from "../datagramTransport";
 
 interface Endpoint {
     listener: (data: Uint8Array) => void;
--- /dev/null
+++ b/packages/vm/src/testing/memoryPlatformClient.ts
@@ -0,0 +1,102 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { CommitOutcome } from "@vanillarouter/platform/commitOutcome";
+import { Diagnostics } from "@vanillarouter/platform/diagnostics";
+import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
+import { ListedVm } from "@vanillarouter/platform/listedVm";
+import { StoreEntry } from "@vanillarouter/platform/storeEntry";
+import { StoreWrite } from "@vanillarouter/platform/storeWrite";
+import { VmList } from "@vanillarouter/platform/vmList";
+import { WatchAnswer } from "@vanillarouter/platform/watchAnswer";
+import { StoredValue } from "@vanillarouter/standins/storedValue";
+import { Err, Ok, Result } from "ts-results";
+import { MemoryPlatform } from "./memoryPlatform";
+
+/** A client of the platform in memory. */
+export class MemoryPlatformClient implements KeyValueStore, VmList {
+    private constructor(
+        private readonly platform: MemoryPlatform,
+        private readonly clock: Clock,
+        private readonly host: string,
+        private readonly isReachable: () => boolean,
+    ) {}
+
+    /** Makes a client; calls fail while `isReachable` returns false. */
+    public static create(platform: MemoryPlatform, clock: Clock, host = "", isReachable: () => boolean = () => true): MemoryPlatformClient {
+        return new MemoryPlatformClient(platform, clock, host, isReachable);
+    }
+
+    public *read(key: string): Operation<Result<StoreEntry | undefined, Failure>> {
+        const refusal = yield* this.begin("read");
+        return refusal === undefined ? Ok(toEntry(this.platform.find(this.host, key))) : Err(refusal);
+    }
+
+    public *readAll(keys: readonly string[]): Operation<Result<readonly StoreEntry[], Failure>> {
+        const refusal = yield* this.begin("read");
+        return refusal === undefined ? Ok(keys.map(key => toEntry(this.platform.find(this.host, key))).filter(entry => entry !== undefined)) : Err(refusal);
+    }
+
+    public *listKeys(prefix: string): Operation<Result<readonly string[], Failure>> {
+        const refusal = yield* this.begin("list");
+        return refusal === undefined ? Ok(this.platform.store.list(prefix).map(entry => entry.key)) : Err(refusal);
+    }
+
+    public *watch(key: string, index: number, waitMs: number): Operation<Result<WatchAnswer, Failure>> {
+        const refusal = yield* this.begin("watch");
+        if (refusal !== undefined) return Err(refusal);
+        const deadline = this.clock.now() + waitMs;
+        this.platform.waitingWatches++;
+        try {
+            while (this.isAvailable && index > 0 && (this.platform.find(this.host, key)?.modifyIndex ?? 0) <= index && this.clock.now() < deadline) {
+                yield* perform<void>({ start: resume => this.platform.store.waitForWrite(Math.min(1_000, deadline - this.clock.now()), () => resume()) });
+            }
+        }
+        finally {
+            this.platform.waitingWatches--;
+        }
+        yield* sleep(this.clock, this.platform.delayMs);
+        if (!this.isAvailable) return Err(this.createRefusal("watch"));
+        return Ok({ entry: toEntry(this.platform.find(this.host, key)), index: this.platform.store.index });
+    }
+
+    public *commit(writes: readonly StoreWrite[]): Operation<Result<CommitOutcome, Failure>> {
+        const refusal = yield* this.begin("commit");
+        if (refusal !== undefined) return Err(refusal);
+        const outcome = this.platform.store.commit(writes.map(write => ({
+            verb: write.kind === "check" ? "check-index" : "cas",
+            key: write.key,
+            index: write.version ?? 0,
+            value: Buffer.from(write.value ?? ""),
+        })));
+        const values = outcome.committed ? outcome.values : [];
+        return Ok({ committed: outcome.committed, versions: new Map(values.map(value => [value.key, value.modifyIndex])) });
+    }
+
+    public *readVms(_timeoutMs: number, zone?: string): Operation<Result<readonly ListedVm[], Failure>> {
+        const refusal = yield* this.begin("vms");
+        return refusal === undefined ? Ok(this.platform.vms.filter(vm => zone === undefined || vm.zone === zone)) : Err(refusal);
+    }
+
+    private get isAvailable(): boolean {
+        return !this.platform.isDown && this.isReachable();
+    }
+
+    private *begin(kind: string): Operation<Failure | undefined> {
+        this.platform.countCall(kind);
+        yield* sleep(this.clock, this.platform.delayMs);
+        return this.isAvailable ? undefined : this.createRefusal(kind);
+    }
+
+    private createRefusal(kind: string): Failure {
+        return createFailure(Diagnostics.storeUnreachable, RunOutcome.DidNotRun, kind, "outage");
+    }
+}
+
+function toEntry(value: StoredValue | undefined): StoreEntry | undefined {
+    return value === undefined ? undefined : { key: value.key, value: value.value.toString("utf8"), version: value.modifyIndex };
+}
--- /dev/null
+++ b/packages/vm/src/vmNode.test.ts
@@ -0,0 +1,127 @@
+import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
+import { ConfigurationSection } from "@vanillarouter/platform/configurationSection";
+import { findShard } from "@vanillarouter/platform/findShard";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { MemberState } from "./memberState";
+import { MemoryCluster } from "./testing/memoryCluster";
+
+const group = {
+    name: "g1",
+    upstreams: ["z0", "z1", "z2"].map((zone, index) => ({ id: `u${index}`, zone, host: "127.0.0.1", port: 3306, slots: 2, maxConnections: 30 })),
+};
+
+function writeGroup(cluster: MemoryCluster, value: unknown): void {
+    const document = { changeId: "c1", items: { g1: { changeId: "c1", value } } };
+    cluster.platform.write(configurationKeys.formatShardKey(findShard(ConfigurationSection.Groups, "g1")), JSON.stringify(document));
+}
+
+function startCluster(zones: number, size: number): MemoryCluster {
+    const cluster = MemoryCluster.create(42);
+    cluster.startZones(zones, size);
+    writeGroup(cluster, group);
+    cluster.clock.advance(15_000);
+    return cluster;
+}
+
+function listOwners(cluster: MemoryCluster, upstream: string): ReadonlySet<string | undefined> {
+    return new Set([...cluster.nodes.values()].map(entry => entry.node.owners.findOwnerVm(upstream)?.id));
+}
+
+test("all VMs of all zones agree on the owner of each upstream, and it is in the upstream's zone (guards against two owners)", () => {
+    const cluster = startCluster(4, 4);
+    for (const upstream of group.upstreams) {
+        const owners = listOwners(cluster, upstream.id);
+        assert.equal(owners.size, 1);
+        assert.match([...owners][0]!, new RegExp(`^${upstream.zone}-`));
+    }
+    cluster.close();
+});
+
+test("P7: a VM killed in one zone is known as dead in every zone within 5 s, and the next owner is agreed on (guards against work for a dead owner)", () => {
+    const cluster = startCluster(4, 4);
+    const [owner] = listOwners(cluster, "u1");
+    cluster.kill(owner!);
+    cluster.clock.advance(5_000);
+    const owners = listOwners(cluster, "u1");
+    assert.equal(owners.size, 1);
+    assert.notEqual([...owners][0], owner);
+    cluster.close();
+});
+
+test("P7: a VM that leaves owns nothing on any VM after 500 ms, though the platform's list shows it as live (guards against trusting the list)", () => {
+    const cluster = startCluster(4, 4);
+    const [owner] = listOwners(cluster, "u0");
+    cluster.platform.vms = [...cluster.nodes.keys()].map(id => ({ id, zone: id.slice(0, 2), host: id, heartbeatPort: 1, linkPort: 1, leaving: false }));
+    cluster.nodes.get(owner!)!.node.membership.announceLeaving();
+    cluster.clock.advance(500);
+    assert.equal(listOwners(cluster, "u0").has(owner), false);
+    cluster.close();
+});
+
+test("a VM that the platform's list shows as leaving is told so by a relay; one that it does not list stays a member (guards against judging by the list)", () => {
+    const cluster = startCluster(2, 4);
+    const list = (leaving: string): void => {
+        cluster.platform.vms = ["z0-0", "z0-1", "z0-2"].map(id => ({ id, zone: "z0", host: id, heartbeatPort: 1, linkPort: 1, leaving: id === leaving }));
+    };
+    list("z0-1");
+    cluster.clock.advance(200_000);
+    assert.equal(cluster.nodes.get("z0-1")!.node.membership.description.leaving, true);
+    assert.equal(cluster.nodes.get("z1-0")!.node.membership.table.find("z0-1")?.vm.leaving, true);
+    assert.equal(cluster.nodes.get("z1-0")!.node.membership.table.find("z0-3")?.state, MemberState.Alive);
+    cluster.close();
+});
+
+test("a VM that is alone and a zone cut off from the others keep their roles (guards against isolated zones that stop serving)", () => {
+    const cluster = startCluster(4, 2);
+    cluster.partition(["z3"]);
+    cluster.clock.advance(20_000);
+    for (const id of ["z3-0", "z3-1"]) assert.equal(cluster.nodes.get(id)!.node.checkRoles(), undefined);
+    cluster.kill("z3-1");
+    cluster.clock.advance(10_000);
+    assert.equal(cluster.nodes.get("z3-0")!.node.checkRoles(), undefined);
+    cluster.close();
+});
+
+test("role handover: a paused VM is no coordinator and no owner when it resumes, until it has renewed its membership (guards against an unaware holder)", () => {
+    const cluster = startCluster(3, 3);
+    const [owner] = listOwners(cluster, "u2");
+    const entry = cluster.nodes.get(owner!)!;
+    const place = entry.node.findCoordinatorPlace(group);
+    assert.notEqual(place, undefined);
+    entry.clock.pause();
+    cluster.network.pause(owner!);
+    cluster.clock.advance(10_000);
+    assert.notEqual(entry.node.checkRoles(), undefined);
+    assert.equal(entry.node.findCoordinatorPlace(group), undefined);
+    entry.clock.resume();
+    assert.notEqual(entry.node.checkRoles(), undefined);
+    cluster.network.resume(owner!);
+    cluster.clock.advance(5_000);
+    assert.equal(entry.node.checkRoles(), undefined);
+    assert.equal(listOwners(cluster, "u2").size, 1);
+    cluster.close();
+});
+
+test("a new primary is known on every VM of every zone within 2 s, and a VM that starts later learns it (guards against views that stay where they were made)", () => {
+    const cluster = startCluster(4, 6);
+    cluster.nodes.get("z2-3")!.views.learn({ group: "g1", term: 7, primary: "u1" });
+    cluster.clock.advance(2_000);
+    for (const [id, entry] of cluster.nodes) assert.equal(entry.views.find("g1")?.term, 7, id);
+    const late = cluster.start("z1-9");
+    cluster.clock.advance(5_000);
+    assert.equal(late.views.find("g1")?.primary, "u1");
+    cluster.close();
+});
+
+test("ordinary rates of an upstream are with its next owner before the owner dies (guards against an overload that follows a failover)", () => {
+    const cluster = startCluster(3, 4);
+    const [owner] = listOwners(cluster, "u1");
+    cluster.nodes.get(owner!)!.ownRates = [{ upstream: "u1", slotTimeByClass: { orders: 120 }, ageMs: 0 }];
+    cluster.clock.advance(12_000);
+    cluster.kill(owner!);
+    cluster.clock.advance(5_000);
+    const [next] = listOwners(cluster, "u1");
+    assert.equal(cluster.nodes.get(next!)!.learnedRates[0]?.slotTimeByClass["orders"], 120);
+    cluster.close();
+});
