Add vrctl with tables, JSON, change ids and exit codes

A class is read before it is set, and the change names the entry that was read, so that a racing operator gets a conflict instead of losing a change.

--- /dev/null
+++ b/packages/control/src/commandOutput.ts
@@ -0,0 +1,7 @@
+/** What a command prints. */
+export interface CommandOutput {
+    /** Printed with --json. */
+    readonly value: unknown;
+    /** Printed otherwise. */
+    readonly text: string;
+}
--- /dev/null
+++ b/packages/control/src/controlMain.ts
@@ -0,0 +1,127 @@
+#!/usr/bin/env node
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import { cac } from "cac";
+import { userInfo } from "node:os";
+import { Result } from "ts-results";
+import { z } from "zod";
+import { AdministrationClient } from "./administrationClient";
+import { CommandFailure } from "./commandFailure";
+import { CommandOutput } from "./commandOutput";
+import { ControlCommands } from "./controlCommands";
+import { Diagnostics } from "./diagnostics";
+import { ExitCode } from "./exitCode";
+
+const program = "vrctl";
+const version = "0.1.0";
+const defaultAddress = "http://127.0.0.1:7300";
+const defaultTimeoutMs = 15_000;
+const defaultHistoryLength = 50;
+
+/** Options whose text must not be read as a number come as lists. */
+const text = z.array(z.string()).transform(values => values[values.length - 1]).optional();
+const integer = z.number().int().min(0).optional();
+const optionsSchema = z.object({
+    address: text,
+    credential: text,
+    author: text,
+    expect: text,
+    rank: text,
+    targetMs: integer,
+    maxAgeMs: integer,
+    readOnly: z.boolean().optional(),
+    limit: integer,
+    timeoutMs: integer,
+    json: z.boolean().optional(),
+});
+type Options = z.infer<typeof optionsSchema>;
+
+function endWith(failed: CommandFailure, asJson: boolean): never {
+    const { code, message, outcome, details } = failed.failure;
+    const shownDetails = details === undefined ? "" : `\n${JSON.stringify(details, undefined, 4)}`;
+    if (asJson) process.stdout.write(JSON.stringify({ error: { code, message, outcome, details } }) + "\n");
+    else process.stderr.write(`${program}: [vr-${code}] ${message} (${outcome})${shownDetails}\n`);
+    process.exit(failed.exitCode);
+}
+
+function endWithUsage(fault: string): never {
+    endWith({ failure: createFailure(Diagnostics.usageInvalid, RunOutcome.DidNotRun, fault), exitCode: ExitCode.Usage }, false);
+}
+
+function readOptions(given: unknown): Options {
+    const parsed = optionsSchema.safeParse(given);
+    if (parsed.success) return parsed.data;
+    return endWithUsage(parsed.error.issues.map(issue => `--${issue.path.join(".")}: ${issue.message}`).join("; "));
+}
+
+function createClient(options: Options): AdministrationClient {
+    const address = options.address ?? process.env["VR_ADDRESS"] ?? defaultAddress;
+    if (!URL.canParse(address)) endWithUsage(`--address: ${address} is not a URL`);
+    const credential = options.credential ?? process.env["VR_CREDENTIAL"];
+    if (credential === undefined) endWithUsage("give --credential or set VR_CREDENTIAL");
+    return AdministrationClient.create({
+        address,
+        credential,
+        author: options.author ?? userInfo().username,
+        timeoutMs: options.timeoutMs ?? defaultTimeoutMs,
+    });
+}
+
+type Runner = (commands: ControlCommands, options: Options) => Operation<Result<CommandOutput, CommandFailure>>;
+
+async function run(given: unknown, runner: Runner): Promise<void> {
+    const options = readOptions(given);
+    const output = await Task.start(runner(ControlCommands.create(createClient(options)), options)).toPromise();
+    if (output.err) endWith(output.val, options.json === true);
+    process.stdout.write(options.json === true ? JSON.stringify(output.val.value) + "\n" : output.val.text);
+}
+
+function selectClassesRunner(action: string, name: string | undefined): Runner {
+    if (action === "list" && name === undefined) return commands => commands.listClasses();
+    if (action === "set" && name !== undefined) {
+        return (commands, { rank, targetMs, maxAgeMs, readOnly, expect }) => commands.setClass(name, { rank, targetMs, maxAgeMs, readOnly, expect });
+    }
+    if (action === "delete" && name !== undefined) return (commands, options) => commands.deleteClass(name, options.expect);
+    return endWithUsage("use classes list, classes set NAME or classes delete NAME");
+}
+
+function selectConfigRunner(action: string, file: string | undefined): Runner {
+    if (action === "get" && file === undefined) return commands => commands.readConfiguration();
+    if (action === "set" && file !== undefined) return commands => commands.changeConfiguration(file);
+    if (action === "history" && file === undefined) return (commands, options) => commands.readHistory(options.limit ?? defaultHistoryLength);
+    return endWithUsage("use config get, config set FILE or config history");
+}
+
+const cli = cac(program);
+cli.option("--address <url>", `Administration API of a VM; default VR_ADDRESS or ${defaultAddress}`, { type: [String] })
+    .option("--credential <text>", "Bearer credential; default VR_CREDENTIAL", { type: [String] })
+    .option("--author <name>", "Name in the audit trail; default the login name", { type: [String] })
+    .option("--timeout-ms <ms>", "Longest time for a call")
+    .option("--json", "Print JSON");
+cli.command("classes <action> [name]", "list, set NAME or delete NAME: classes of work and their targets")
+    .option("--rank <rank>", "urgent, standard or background", { type: [String] })
+    .option("--target-ms <ms>", "Time from arrival to the whole answer")
+    .option("--max-age-ms <ms>", "Greatest age of data that reads may see")
+    .option("--read-only", "Refuse writes; --no-read-only allows them")
+    .option("--expect <change>", "Change id that the entry must have", { type: [String] })
+    .action((action: string, name: string | undefined, options: unknown) => run(options, selectClassesRunner(action, name)));
+cli.command("config <action> [file]", "get, set FILE or history: the whole configuration")
+    .option("--limit <count>", "Number of changes of the history")
+    .action((action: string, file: string | undefined, options: unknown) => run(options, selectConfigRunner(action, file)));
+cli.command("groups", "Database groups, their primaries and owners").action((options: unknown) => run(options, commands => commands.listGroups()));
+cli.command("members", "VMs as this VM knows them").action((options: unknown) => run(options, commands => commands.listMembers()));
+cli.command("status", "State of the VM").action((options: unknown) => run(options, commands => commands.readStatus()));
+cli.command("drain", "Shut the VM down gracefully").action((options: unknown) => run(options, commands => commands.drain()));
+cli.help();
+cli.version(version);
+
+async function main(): Promise<void> {
+    const parsed = cli.parse(process.argv, { run: false });
+    if (parsed.options["help"] === true || parsed.options["version"] === true) return;
+    if (cli.matchedCommand === undefined) endWithUsage(parsed.args.length === 0 ? "no command given" : `unknown command ${parsed.args[0]}`);
+    await cli.runMatchedCommand();
+}
+
+main().catch((err: unknown) => endWithUsage(err instanceof Error ? err.message : String(err)));
--- /dev/null
+++ b/packages/control/src/exitCode.ts
@@ -0,0 +1,10 @@
+/** Exit codes of the command, for scripts. */
+export enum ExitCode {
+    Success = 0,
+    Failure = 1,
+    Usage = 2,
+    /** Another change came first. */
+    Conflict = 3,
+    /** The VM, or the platform's store behind it, cannot be reached. */
+    Unreachable = 4,
+}
--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -1,4 +1,4 @@
-import { createTestCertificates } from "@vanillarouter/vm/createTestCertificates";
+import { createTestCertificates } from "@vanillarouter/vm/testing/createTestCertificates";
 import { Connection, createConnection } from "mysql2/promise";
 import * as assert from "node:assert/strict";
 import { ChildProcess, spawn, spawnSync } from "node:child_process";
