--- a/packages/caller/src/answerLocally.ts
+++ b/packages/caller/src/answerLocally.ts
@@ -17,6 +17,8 @@
 
 const success = createTextResult([], []);
 const firstWord = /^[a-z]+/i;
+/** Comments, parentheses and semicolons before the first word. Comments that servers execute are not skipped. */
+const leadingText = /^(?:[\s(;]|\/\*(?!!)[\s\S]*?\*\/|--\s[^\n]*(?:\n|$)|#[^\n]*(?:\n|$))+/;
 
 function matchName(name: string, pattern: string | undefined): boolean {
     if (pattern === undefined) return true;
@@ -45,7 +47,8 @@
  * Answers statements about the connection itself: SET, USE, SELECT of variables, SHOW WARNINGS and similar. Refuses
  * statements that would leave state on a shared upstream connection. Returns undefined for work that needs an upstream.
  */
-export function answerLocally(variables: CallerVariables, sql: string): Answer | undefined {
+export function answerLocally(variables: CallerVariables, text: string): Answer | undefined {
+    const sql = text.replace(leadingText, "");
     const word = (firstWord.exec(sql)?.[0] ?? "").toUpperCase();
     if (word === "SELECT") return answerSelect(variables, sql);
     if (word === "SET") return answerSet(variables, sql.slice(word.length).replace(/;\s*$/, "").trim()).map(() => success);
--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -154,6 +154,8 @@
         ["SET autocommit = 0", /^\[vr-1107\]/],
         ["SET @other = 1", /^\[vr-1113\]/],
         ["LOCK TABLES t WRITE", /^\[vr-1107\]/],
+        ["/* app */ LOCK TABLES t WRITE", /^\[vr-1107\]/],
+        ["/* only a comment */", /^\[vr-1107\]/],
         ["USE nowhere", /^\[vr-1201\]/],
         [`SELECT '${"x".repeat(maxStatementBytes)}'`, /^\[vr-1104\]/],
     ];
