Accept a retry mark and several session tokens from callers

Conclusion: a hint takes several tokens and their floors are merged. A caller marks a repeated request id with the word retry.

--- a/packages/caller/src/addHintValue.ts
+++ b/packages/caller/src/addHintValue.ts
@@ -6,7 +6,7 @@
 import { Hint } from "./hint";
 
 const namePattern = /^[\w.:@-]{1,64}$/;
-const tokenPattern = /^[\w.:=~+/-]{1,4096}$/;
+const tokenPattern = /^[\w.:=~+/,-]{1,4096}$/;
 const longestDeadlineMs = 86_400_000;
 const maxShownLength = 40;
 
@@ -24,6 +24,7 @@
 export function addHintValue(hint: Hint, key: string, value: string): Result<Hint, Failure> {
     if (key === "once" && value === "") return Ok({ ...hint, repeatable: false });
     if (key === "repeatable" && value === "") return Ok({ ...hint, repeatable: true });
+    if (key === "retry" && value === "") return Ok({ ...hint, isRetry: true });
     if (key === "deadline") return addDeadline(hint, value);
     if (key === "token") return tokenPattern.test(value) ? Ok({ ...hint, token: value }) : refuse("token");
     if (!namePattern.test(value)) return refuse(`${key}=${value}`);
--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -144,6 +144,13 @@
     assert.notEqual(requests[2]!.requestId, "f-attribute:r7", "a request id set as variable counts once");
 });
 
+test("a retry is marked, and every token of a session whose statements overlapped is taken over", async () => {
+    const connection = await open();
+    await connection.query("/*vr session=s1 token=abc,def req=7 retry */ INSERT 1");
+    assert.equal(requests[0]!.isRetry, true);
+    assert.deepEqual(attached, ["s1/abc", "s1/def"]);
+});
+
 test("malformed hints, state on shared connections and unknown commands get numbered errors and reach no session", async () => {
     const connection = await open();
     const refused: readonly (readonly [string, RegExp])[] = [
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -161,6 +161,7 @@
             arrivedAt,
             timeoutMs: hint.timeoutMs,
             repeatable: hint.repeatable ?? isRead(sql),
+            isRetry: hint.isRetry,
         };
     }
 
--- a/packages/caller/src/connectionState.ts
+++ b/packages/caller/src/connectionState.ts
@@ -11,6 +11,7 @@
 import { Hint } from "./hint";
 
 const variablePrefix = "vr_";
+const tokenSeparator = ",";
 const attributeKeys = ["class", "franchisee", "session", "token", "deadline"];
 const wordVariables = new Set(["once", "repeatable"]);
 const variableKeys = new Set([...attributeKeys, "req", ...wordVariables]);
@@ -101,13 +102,18 @@
         return resolved;
     }
 
-    /** Makes the session of a statement the current one and takes over the floors of its token. */
+    /**
+     * Makes the session of a statement the current one and takes over the floors of its tokens. Statements that overlap
+     * return tokens that do not know of each other, so a caller passes all of them until one answer covers them.
+     */
     public attach(hint: Hint): Result<void, Failure> {
         const isCurrent = (hint.session === undefined || hint.session === this.attachedName)
             && (hint.token === undefined || hint.token === this.attachedToken);
         if (isCurrent) return Ok(undefined);
-        const attached = this.session.attach({ name: hint.session, token: hint.token });
-        if (attached.err) return attached;
+        for (const token of hint.token?.split(tokenSeparator) ?? [undefined]) {
+            const attached = this.session.attach({ name: hint.session, token });
+            if (attached.err) return attached;
+        }
         this.attachedName = hint.session ?? this.attachedName;
         this.attachedToken = hint.token ?? this.attachedToken;
         return Ok(undefined);
--- a/packages/caller/src/hint.ts
+++ b/packages/caller/src/hint.ts
@@ -3,6 +3,7 @@
     readonly className?: string;
     readonly franchisee?: string;
     readonly session?: string;
+    /** Encoded session token; several, separated by commas, when statements of the session overlapped. */
     readonly token?: string;
     /** Id of the request, which a retry repeats. */
     readonly requestId?: string;
@@ -10,4 +11,6 @@
     readonly timeoutMs?: number;
     /** Whether the statement may run more than once. */
     readonly repeatable?: boolean;
+    /** Whether the caller sent the request id before. */
+    readonly isRetry?: boolean;
 }
