Test a paused VM, a start without the store, and a drain under load of another VM

Callers of the other VM see no failure while owners move; every answered write was executed once. A node that ends by itself now makes the daemon exit with 1.

--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -33,6 +33,7 @@
     readonly controlPort: number;
 }
 
+let platform: ChildProcess;
 let platformPort = 0;
 let upstreams: readonly Upstream[] = [];
 let vms: readonly Vm[] = [];
@@ -127,7 +128,9 @@
 
 before(async () => {
     for (const [name, text] of Object.entries(createTestCertificates())) writeFileSync(join(folder, `${name}.pem`), text);
-    platformPort = Number((await start(join(__dirname, "..", "..", "standins", "dist", "platformMain.js"), []).ready).split(":").at(-1));
+    const store = start(join(__dirname, "..", "..", "standins", "dist", "platformMain.js"), []);
+    platform = store.child;
+    platformPort = Number((await store.ready).split(":").at(-1));
     upstreams = await Promise.all(["u1", "u2", "u3"].map(id => startUpstream(id, "u1")));
     const peers = JSON.stringify(Object.fromEntries(upstreams.map(({ id, peerPort }) => [id, peerPort])));
     for (const { controlPort } of upstreams) await fetch(`http://${host}:${controlPort}/peers`, { method: "PUT", body: peers });
@@ -172,6 +175,42 @@
     assert.match(JSON.stringify(answer.body), /"targetMs":2000/);
 });
 
+test("a VM that was paused renews its membership before it uses its roles, and no write is lost or doubled", async () => {
+    const [paused, other] = vms as [Vm, Vm];
+    const connection = await open(other);
+    const answered: string[] = [];
+    const insertOnce = async (count: number): Promise<void> => {
+        await connection.query(`/*vr req=pause-${count} deadline=8000 */ ${insert.replace("REF", `pause-${count}`)}`).then(
+            () => answered.push(`pause-${count}`),
+            err => assert.match(String(err), /did not run|unknown outcome/),
+        );
+    };
+    paused.child.kill("SIGSTOP");
+    for (let count = 0; count < 20; count++) await insertOnce(count);
+    await new Promise(resolve => setTimeout(resolve, 2500));
+    paused.child.kill("SIGCONT");
+    for (let count = 20; count < 60; count++) await insertOnce(count);
+    await eventually(async () => assert.equal((await call(paused, "GET", "/v1/status")).body["rolesHeld"], true));
+    const again = await eventually(() => open(paused));
+    await eventually(() => again.query(insert.replace("REF", "resumed")));
+    const executed = await readExecuted();
+    const counts = answered.map(ref => executed.filter(sql => sql.includes(`'${ref}'`)).length);
+    assert.deepEqual(counts, answered.map(() => 1));
+    assert.ok(answered.length >= 50, `only ${answered.length} of 60 writes were answered`);
+    connection.destroy();
+    again.destroy();
+});
+
+test("a VM that starts while the store is down takes the configuration from its neighbours", async () => {
+    platform.kill("SIGKILL");
+    const started = await startVm("vm3", "b", vms);
+    const connection = await open(started);
+    await eventually(() => connection.query(insert.replace("REF", "no-store")));
+    connection.destroy();
+    started.child.kill("SIGTERM");
+    await once(started.child, "exit");
+});
+
 test("SIGTERM on a VM interrupts no request, and its work goes on through the other VM", async () => {
     const leaving = vms[0]!;
     const connection = await open(leaving);
@@ -191,18 +230,29 @@
             }
         }
     })();
+    const others = await Promise.all([open(vms[1]!), open(vms[1]!), open(vms[1]!)]);
+    const failures: string[] = [];
+    let isLeft = false;
+    const otherLoads = others.map(async (other, index) => {
+        for (let count = 0; !isLeft; count++) {
+            const sql = count % 2 === 0 ? "SELECT ref FROM orders WHERE ref = 'o1'" : insert.replace("REF", `other-${index}-${count}`);
+            await other.query(sql).catch(err => failures.push(String(err)));
+        }
+    });
     await new Promise(resolve => setTimeout(resolve, 200));
     leaving.child.kill("SIGTERM");
     const [code] = await once(leaving.child, "exit");
     await load;
+    await new Promise(resolve => setTimeout(resolve, 500));
+    isLeft = true;
+    await Promise.all(otherLoads);
+    assert.deepEqual(failures, [], "callers of the other VM see nothing of the change of owners");
     assert.equal(code, 0, leaving.readLog());
     assert.equal(refused, 1);
     const executed = await readExecuted();
     for (const ref of answered) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
     assert.equal(executed.filter(sql => sql.includes("'drain-")).length, answered.length, "what was refused did not run");
-    const other = await open(vms[1]!);
-    await eventually(() => other.query(insert.replace("REF", "o3")));
-    other.destroy();
+    for (const other of others) other.destroy();
 });
 
 test("a killed primary is replaced and the session goes on", async () => {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -64,6 +64,8 @@
     private readonly counters = CounterMetrics.create();
     private readonly platform: PlatformClient;
     private parts: Parts | undefined;
+    /** Why the node ended although nobody asked for it. */
+    private nodeFailure: Failure | undefined;
 
     private constructor(private readonly options: DaemonOptions) {
         this.platform = PlatformClient.create(options.settings.platform);
@@ -93,7 +95,7 @@
             const served = yield* this.serve(running.val, parts, administration);
             if (served.err) return served;
             yield* this.drain(running.val, parts);
-            return Ok(undefined);
+            return this.nodeFailure === undefined ? Ok(undefined) : Err(this.nodeFailure);
         }
         finally {
             for (const task of tasks) task.cancel();
@@ -145,6 +147,7 @@
         catch (err) {
             const failure = createFailure(Diagnostics.unexpectedError, RunOutcome.Unknown, String(err));
             this.options.logger.error({ code: failure.code, err: err instanceof Error ? err.stack : String(err) }, "node.failed");
+            this.nodeFailure = failure;
             this.startDrain();
         }
     }
@@ -224,6 +227,7 @@
         const { settings, clock, logger } = this.options;
         const { announceMs, timeoutMs } = settings.shutdown;
         const announcedAt = clock.now();
+        const deadline = announcedAt + announceMs + timeoutMs;
         yield* running.node.leave();
         const handOver = Task.start(parts.owners.drain());
         yield* sleep(clock, Math.max(0, announceMs - (clock.now() - announcedAt)));
@@ -232,7 +236,7 @@
             const failure = createFailure(Diagnostics.drainIncomplete, RunOutcome.Unknown, remaining, timeoutMs);
             logger.warn({ code: failure.code, reason: failure.message }, "daemon.drain_incomplete");
         }
-        yield* withTimeout(clock, timeoutMs, handOver.join());
+        yield* withTimeout(clock, Math.max(0, deadline - clock.now()), handOver.join());
         logger.info({ endedByForce: remaining }, "daemon.drained");
     }
 }
