Test outcomes and connections against the naive owner

Generated faults, fixed seed: lost replies, silent connections, isolated primaries with late news, stopped replicas, slow upstreams.

--- /dev/null
+++ b/packages/routing/src/connections.test.ts
@@ -0,0 +1,143 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { Task } from "@vanillarouter/base/task";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { FakeOwnerBed } from "./fakeOwnerBed";
+import { NaiveOwner } from "./naiveOwner";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+
+interface Step {
+    readonly waitMs: number;
+    readonly reads: number;
+    readonly fault: "silence" | "slow" | "fast" | "loseReply" | undefined;
+}
+
+interface Read {
+    readonly sql: string;
+    readonly startedAt: number;
+    /** First value of the answer; undefined while there is none, or after a failure. */
+    value?: string;
+    endedAt?: number;
+}
+
+type Execute = (req: OwnerRequest) => Operation<{ readonly ok: boolean; readonly val: unknown; }>;
+
+const parameters = { seed: 20_261_204, numRuns: 200 };
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+    waitMs: fc.integer({ min: 0, max: 150 }),
+    reads: fc.integer({ min: 0, max: 5 }),
+    fault: fc.option(fc.constantFrom("silence" as const, "slow" as const, "fast" as const, "loseReply" as const), { nil: undefined }),
+});
+const stepsArbitrary = fc.array(stepArbitrary, { minLength: 1, maxLength: 15 });
+
+function createRead(sql: string, timeoutMs = 1_000): OwnerRequest {
+    const common = { upstream: "b", group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", kind: StatementKind.Read as const };
+    return { ...common, requestId: sql, sql, timeoutMs, maxAgeMs: 60_000, repeatable: true };
+}
+
+function inject(bed: FakeOwnerBed, fault: Step["fault"]): void {
+    const upstream = bed.group.get("b");
+    if (fault === "silence") { for (const connection of bed.group.connections) connection.isSilent = true; }
+    else if (fault === "slow") upstream.slowness = 100;
+    else if (fault === "fast") upstream.slowness = 1;
+    else if (fault === "loseReply") upstream.repliesToLose = 1;
+}
+
+function startRead(bed: FakeOwnerBed, execute: Execute, sql: string, reads: Read[], timeoutMs?: number): Read {
+    const read: Read = { sql, startedAt: bed.clock.now() };
+    reads.push(read);
+    const task = Task.start(execute(createRead(sql, timeoutMs)));
+    task.onSettled(() =>
+        task.deliver(answer => {
+            read.endedAt = bed.clock.now();
+            if (answer.ok) read.value = (answer.val as { readonly result: { readonly rows: string[][]; }; }).result.rows[0]![0];
+        }, err => assert.fail(String(err)))
+    );
+    return read;
+}
+
+function runSteps(bed: FakeOwnerBed, steps: readonly Step[], execute: Execute): readonly Read[] {
+    const reads: Read[] = [];
+    for (const step of steps) {
+        inject(bed, step.fault);
+        for (let index = 0; index < step.reads; index++) startRead(bed, execute, `select ${reads.length}`, reads);
+        bed.clock.advance(step.waitMs);
+    }
+    bed.clock.advance(5_000);
+    return reads;
+}
+
+function checkOwnAnswers(reads: readonly Read[]): void {
+    for (const read of reads) assert.ok(read.value === undefined || read.value === read.sql, `${read.sql} got the answer of ${read.value}`);
+}
+
+test("P4: every caller gets the answer to its own request, whatever connections do", () => {
+    fc.assert(
+        fc.property(stepsArbitrary, steps => {
+            const bed = FakeOwnerBed.create();
+            const reads = runSteps(bed, steps, req => bed.get("b").execute(req));
+            checkOwnAnswers(reads);
+            assert.ok(reads.every(read => read.endedAt !== undefined && read.endedAt - read.startedAt <= 1_000), "every read ends by its deadline");
+        }),
+        parameters,
+    );
+});
+
+test("P4: a pool that reuses connections after a timeout mixes answers", () => {
+    const check = fc.check(
+        fc.property(stepsArbitrary, steps => {
+            const bed = FakeOwnerBed.create();
+            const naive = NaiveOwner.create(bed.group, "b");
+            checkOwnAnswers(runSteps(bed, steps, req => naive.execute(req)));
+        }),
+        parameters,
+    );
+    assert.equal(check.failed, true);
+});
+
+/** Runs reads one after another so that the owner learns how long they take. */
+function learnLatency(bed: FakeOwnerBed): void {
+    const reads: Read[] = [];
+    for (let index = 0; index < 100; index++) {
+        startRead(bed, req => bed.get("b").execute(req), `learn ${index}`, reads);
+        bed.clock.advance(10);
+    }
+    assert.ok(reads.every(read => read.value !== undefined));
+}
+
+test("silent connections: work moves to new connections within a time derived from the observed latency", () => {
+    const bed = FakeOwnerBed.create();
+    learnLatency(bed);
+    for (const connection of bed.group.connections) connection.isSilent = true;
+    const reads: Read[] = [];
+    for (let index = 0; index < 10; index++) startRead(bed, req => bed.get("b").execute(req), `select ${index}`, reads);
+    bed.clock.advance(200);
+    assert.deepEqual(reads.map(read => read.value), reads.map(read => read.sql));
+});
+
+test("silent connections: a slow upstream is not taken for silent connections, so nothing is retried on it", () => {
+    const bed = FakeOwnerBed.create();
+    learnLatency(bed);
+    const upstream = bed.group.get("b");
+    const opened = bed.group.connections.length;
+    upstream.slowness = 100;
+    const started = upstream.statementsStarted;
+    const reads: Read[] = [];
+    for (let index = 0; index < 2; index++) startRead(bed, req => bed.get("b").execute(req), `select ${index}`, reads, 2_000);
+    bed.clock.advance(2_000);
+    assert.deepEqual(reads.map(read => read.value), reads.map(read => read.sql));
+    // Probes also count as statements, but they wait behind the slow ones and so never make the owner give up.
+    assert.ok(upstream.statementsStarted - started - 2 <= bed.group.connections.length - opened);
+});
+
+test("connection limit: an owner never opens more connections than the upstream has left for statements", () => {
+    const bed = FakeOwnerBed.create();
+    for (let round = 0; round < 20; round++) {
+        for (const connection of bed.group.connections) connection.isSilent = true;
+        runSteps(bed, [{ waitMs: 50, reads: 20, fault: undefined }], req => bed.get("b").execute(req));
+        assert.ok(bed.group.get("b").openConnections <= 22, `${bed.group.get("b").openConnections} connections`);
+    }
+});
--- a/packages/routing/src/fakeConnection.ts
+++ b/packages/routing/src/fakeConnection.ts
@@ -2,6 +2,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err, Ok, Result } from "ts-results";
 import { Diagnostics } from "./diagnostics";
@@ -13,17 +14,17 @@
 type Answer = Result<UpstreamAnswer, Failure>;
 
 /**
- * A connection to a fake upstream. As in the real protocol, an answer belongs to whoever reads next: a statement sent
- * while an earlier one is still executing gets the earlier one's answer.
+ * A connection to a fake upstream. As in the real protocol, answers carry no id: whoever reads next gets the next answer,
+ * so a statement sent after an interrupted one gets the answer of the interrupted one.
  */
 export class FakeConnection implements UpstreamConnection {
     /** Whether an intermediary has lost the connection: nothing arrives, in either direction. */
     public isSilent = false;
     private open = true;
     private transaction: string[] | undefined;
-    /** Answers that were never read, oldest first. */
-    private readonly unread: Answer[] = [];
-    private outstanding = 0;
+    /** Answers that arrived while nobody read, oldest first. */
+    private readonly unread: (Answer | undefined)[] = [];
+    private reader: ((answer: Answer | undefined) => void) | undefined;
 
     private constructor(private readonly group: FakeGroup, public readonly upstream: FakeUpstream) {
         upstream.openConnections++;
@@ -77,27 +78,37 @@
 
     private *send(serve: () => Operation<Answer>): Operation<Answer> {
         if (!this.open) return this.fail(Diagnostics.connectionLost.code, "closed");
-        this.outstanding++;
-        const isCut = (): boolean => this.isSilent;
-        const answer = yield* this.group.exchange(this.upstream, isCut, () => this.serveInOrder(serve));
+        this.group.post(this.upstream, () => this.isSilent, () => this.serveUnlessLost(serve), answer => this.receive(answer));
+        const answer = yield* this.readNext();
         if (answer !== undefined) return answer;
         this.close();
         return this.fail(Diagnostics.connectionLost.code, "reply lost");
     }
 
-    private *serveInOrder(serve: () => Operation<Answer>): Operation<Answer | undefined> {
+    private readNext(): Operation<Answer | undefined> {
+        return perform<Answer | undefined>({
+            start: resume => {
+                if (this.unread.length > 0) resume(this.unread.shift());
+                else this.reader = resume;
+                return () => {
+                    this.reader = undefined;
+                };
+            },
+        });
+    }
+
+    private receive(answer: Answer | undefined): void {
+        const reader = this.reader;
+        this.reader = undefined;
+        if (reader === undefined) this.unread.push(answer);
+        else reader(answer);
+    }
+
+    private *serveUnlessLost(serve: () => Operation<Answer>): Operation<Answer | undefined> {
         const answer = yield* serve();
-        this.outstanding--;
-        if (this.upstream.repliesToLose > 0) {
-            this.upstream.repliesToLose--;
-            return undefined;
-        }
-        // With another statement under way, the reader on this connection gets the answers in the order of execution.
-        if (this.outstanding > 0 || this.unread.length > 0) {
-            this.unread.push(answer);
-            return this.unread.shift();
-        }
-        return answer;
+        if (this.upstream.repliesToLose <= 0) return answer;
+        this.upstream.repliesToLose--;
+        return undefined;
     }
 
     private *serveRead(sql: string, floor: LogPosition | undefined, durationMs = this.group.measure(sql)): Operation<Answer> {
--- a/packages/routing/src/fakeGroup.ts
+++ b/packages/routing/src/fakeGroup.ts
@@ -70,8 +70,11 @@
         return this.get(this.view.primary!).log;
     }
 
-    /** Makes the best of the reachable upstreams other than `except` primary of the next term, as a coordinator does. */
-    public failOver(except?: string): string | undefined {
+    /**
+     * Makes the best of the reachable upstreams other than `except` primary of the next term, as a coordinator does. The
+     * directory learns of it after `learnAfterMs`; until then owners believe in the old primary.
+     */
+    public failOver(except?: string, learnAfterMs = 0): string | undefined {
         const term = Math.max(...[...this.upstreams.values()].map(upstream => upstream.acceptedTerm)) + 1;
         const voters = [...this.upstreams.values()].filter(upstream => upstream.isReachable && upstream.settings.id !== except);
         if (voters.length * 2 <= this.upstreams.size) return undefined;
@@ -79,10 +82,27 @@
         const rank = (upstream: FakeUpstream): number => upstream.received.term * 1e9 + upstream.received.position;
         const best = voters.reduce((first, second) => rank(second) > rank(first) ? second : first);
         this.setPrimary(best.settings.id);
-        this.learn({ group: this.group.name, term, primary: best.settings.id });
+        this.clock.startTimer(learnAfterMs, () => this.learn({ group: this.group.name, term, primary: best.settings.id }));
         return best.settings.id;
     }
 
+    /** Ends all faults, and lets every upstream follow the primary of the highest term. */
+    public heal(): void {
+        const term = Math.max(...[...this.upstreams.values()].map(upstream => upstream.acceptedTerm));
+        const primary = [...this.upstreams.values()].find(upstream => upstream.isPrimary && upstream.acceptedTerm === term);
+        for (const upstream of this.upstreams.values()) {
+            upstream.isReachable = true;
+            upstream.isReplicating = true;
+            upstream.slowness = 1;
+            upstream.repliesToLose = 0;
+            if (primary === undefined || upstream === primary) continue;
+            upstream.acceptedTerm = term;
+            upstream.isPrimary = false;
+            upstream.primary = primary.settings.id;
+            upstream.replicateFrom(primary);
+        }
+    }
+
     public measure(sql: string): number {
         return this.options.measureStatement?.(sql) ?? 2;
     }
@@ -117,20 +137,24 @@
     public exchange<T>(upstream: FakeUpstream, isCut: () => boolean, serve: () => Operation<T>): Operation<T> {
         return perform<T>({
             start: resume => {
-                this.clock.startTimer(this.networkMs, () => {
-                    if (isCut() || !upstream.isReachable) return;
-                    const task = Task.start(serve());
-                    task.onSettled(() =>
-                        this.clock.startTimer(this.networkMs, () => {
-                            if (!isCut() && upstream.isReachable) task.deliver(resume, () => {});
-                        })
-                    );
-                });
+                this.post(upstream, isCut, serve, resume);
                 return () => {};
             },
         });
     }
 
+    /** As `exchange`, with a listener for the answer. */
+    public post<T>(upstream: FakeUpstream, isCut: () => boolean, serve: () => Operation<T>, listener: (answer: T) => void): void {
+        const deliver = (task: Task<T>): void => {
+            if (!isCut() && upstream.isReachable) task.deliver(listener, () => {});
+        };
+        this.clock.startTimer(this.networkMs, () => {
+            if (isCut() || !upstream.isReachable) return;
+            const task = Task.start(serve());
+            task.onSettled(() => this.clock.startTimer(this.networkMs, () => deliver(task)));
+        });
+    }
+
     /** As `exchange`, with an end: a failure with outcome Unknown after `timeoutMs`. */
     public *ask<T>(upstream: FakeUpstream, timeoutMs: number, serve: () => Operation<Result<T, Failure>>): Operation<Result<T, Failure>> {
         const answer = yield* withTimeout(this.clock, timeoutMs, this.exchange(upstream, () => false, serve));
--- /dev/null
+++ b/packages/routing/src/naiveOwner.ts
@@ -0,0 +1,56 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Err, Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { FakeGroup } from "./fakeGroup";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+import { UpstreamAnswer } from "./upstreamAnswer";
+import { UpstreamConnection } from "./upstreamConnection";
+
+/** Time after which the naive owner gives up on a statement, in milliseconds. */
+const statementTimeoutMs = 100;
+const maxAttempts = 3;
+
+/**
+ * The naive version that ours is compared with: a fixed pool whose connections are reused after a timeout, first come
+ * first served, acknowledgement by the primary alone, and a blind retry under a new id after a lost reply.
+ */
+export class NaiveOwner {
+    private readonly idle: UpstreamConnection[] = [];
+    private retries = 0;
+
+    private constructor(private readonly group: FakeGroup, private readonly upstream: string) {}
+
+    public static create(group: FakeGroup, upstream: string): NaiveOwner {
+        return new NaiveOwner(group, upstream);
+    }
+
+    public *execute(req: OwnerRequest): Operation<Result<UpstreamAnswer, Failure>> {
+        for (let attempt = 0; attempt < maxAttempts; attempt++) {
+            const answer = yield* this.attempt(req, attempt === 0 ? req.requestId : `${req.requestId}-retry${this.retries++}`);
+            if (answer !== undefined && (answer.ok || answer.val.outcome !== RunOutcome.Unknown)) return answer;
+        }
+        return Err(createFailure(Diagnostics.timedOut, RunOutcome.DidNotRun, req.timeoutMs));
+    }
+
+    private *attempt(req: OwnerRequest, id: string): Operation<Result<UpstreamAnswer, Failure> | undefined> {
+        const connection = yield* this.acquire();
+        if (connection === undefined) return undefined;
+        const term = this.group.get(this.upstream).acceptedTerm;
+        const statement = req.kind === StatementKind.Write ? connection.write(req.sql, term, id) : connection.read(req.sql, undefined);
+        const answer = yield* withTimeout(this.group.clock, statementTimeoutMs, statement);
+        this.idle.push(connection);
+        return answer;
+    }
+
+    private *acquire(): Operation<UpstreamConnection | undefined> {
+        const connection = this.idle.shift();
+        if (connection?.isOpen) return connection;
+        const opened = yield* this.group.connect(this.group.get(this.upstream).settings, statementTimeoutMs);
+        return opened.ok ? opened.val : undefined;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/outcomes.test.ts
@@ -0,0 +1,127 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "ts-results";
+import { FakeOwnerBed } from "./fakeOwnerBed";
+import { NaiveOwner } from "./naiveOwner";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+
+type Fault = "loseReply" | "silence" | "isolatePrimary" | "stopReplica" | "slow" | "heal";
+
+interface Event {
+    readonly waitMs: number;
+    readonly writes: number;
+    readonly fault: Fault | undefined;
+    readonly learnAfterMs: number;
+}
+
+interface Outcomes {
+    readonly acknowledged: string[];
+    readonly refused: string[];
+    readonly open: Set<string>;
+}
+
+const eventArbitrary: fc.Arbitrary<Event> = fc.record({
+    waitMs: fc.integer({ min: 0, max: 300 }),
+    writes: fc.integer({ min: 0, max: 4 }),
+    fault: fc.option(fc.constantFrom<Fault>("loseReply", "silence", "isolatePrimary", "stopReplica", "slow", "heal"), { nil: undefined }),
+    learnAfterMs: fc.integer({ min: 0, max: 400 }),
+});
+
+function inject(bed: FakeOwnerBed, event: Event): void {
+    const { group } = bed;
+    const primary = group.find("stock")!.primary!;
+    if (event.fault === "loseReply") group.get(primary).repliesToLose = 1;
+    else if (event.fault === "silence") { for (const connection of group.connections) connection.isSilent = true; }
+    else if (event.fault === "isolatePrimary") group.failOver(primary, event.learnAfterMs);
+    else if (event.fault === "stopReplica") group.get("c").isReplicating = false;
+    else if (event.fault === "slow") group.get(primary).slowness = 20;
+    else if (event.fault === "heal") group.heal();
+}
+
+function createWrite(requestId: string, upstream: string, term: number): OwnerRequest {
+    const common = { group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", kind: StatementKind.Write as const };
+    return { ...common, requestId, upstream, sql: `order ${requestId}`, timeoutMs: 400, term, repeatable: false };
+}
+
+/** Does what an entry VM does: executes a write, and asks the current owner for the outcome when it is unknown. */
+function* executeOurs(bed: FakeOwnerBed, requestId: string): Operation<Result<unknown, Failure>> {
+    const view = bed.group.find("stock")!;
+    const first = yield* bed.get(view.primary!).execute(createWrite(requestId, view.primary!, view.term));
+    if (first.ok || first.val.outcome !== RunOutcome.Unknown) return first;
+    const current = bed.group.find("stock")!;
+    const question = { requestId, group: "stock", upstream: current.primary!, term: current.term, timeoutMs: 2_000 };
+    return yield* bed.get(current.primary!).resolveOutcome(question);
+}
+
+function runEvents(bed: FakeOwnerBed, events: readonly Event[], execute: (requestId: string) => Operation<Result<unknown, Failure>>): Outcomes {
+    const outcomes: Outcomes = { acknowledged: [], refused: [], open: new Set() };
+    let count = 0;
+    for (const event of events) {
+        for (let index = 0; index < event.writes; index++) {
+            const requestId = `r${count++}`;
+            outcomes.open.add(requestId);
+            const task = Task.start(execute(requestId));
+            task.onSettled(() => task.deliver(result => settle(outcomes, requestId, result), err => assert.fail(String(err))));
+        }
+        inject(bed, event);
+        bed.clock.advance(event.waitMs);
+    }
+    bed.clock.advance(3_000);
+    bed.group.heal();
+    bed.clock.advance(3_000);
+    // A last change of primary shows what would be lost with the old one.
+    bed.group.failOver(bed.group.find("stock")!.primary);
+    bed.clock.advance(3_000);
+    return outcomes;
+}
+
+function settle(outcomes: Outcomes, requestId: string, result: Result<unknown, Failure>): void {
+    outcomes.open.delete(requestId);
+    if (result.ok) outcomes.acknowledged.push(requestId);
+    else if (result.val.outcome === RunOutcome.DidNotRun) outcomes.refused.push(requestId);
+}
+
+function countExecutions(bed: FakeOwnerBed, requestId: string): number {
+    return bed.group.finalLog.filter(entry => entry.sql === `order ${requestId}` && !entry.isCancellation).length;
+}
+
+function checkOutcomes(bed: FakeOwnerBed, outcomes: Outcomes): void {
+    for (const id of outcomes.acknowledged) assert.equal(countExecutions(bed, id), 1, `${id} was acknowledged and must be there once`);
+    for (const id of outcomes.refused) assert.equal(countExecutions(bed, id), 0, `${id} was reported as not run`);
+    for (const entry of bed.group.finalLog) {
+        assert.ok(entry.sql === "" || countExecutions(bed, entry.sql.slice("order ".length)) === 1, `${entry.sql} ran twice`);
+    }
+    assert.deepEqual([...outcomes.open], [], "every request gets an answer");
+}
+
+const parameters = { seed: 20_261_204, numRuns: 300 };
+const eventsArbitrary = fc.array(eventArbitrary, { minLength: 1, maxLength: 12 });
+
+test("P2 P5 P6: acknowledged writes survive, refused ones never run, none runs twice, whatever fails", () => {
+    fc.assert(
+        fc.property(eventsArbitrary, events => {
+            const bed = FakeOwnerBed.create();
+            checkOutcomes(bed, runEvents(bed, events, id => executeOurs(bed, id)));
+        }),
+        parameters,
+    );
+});
+
+test("P2 P5 P6: acknowledgement by the primary alone with blind retry loses, doubles or denies writes", () => {
+    const check = fc.check(
+        fc.property(eventsArbitrary, events => {
+            const bed = FakeOwnerBed.create();
+            const naive = new Map(["a", "b", "c"].map(id => [id, NaiveOwner.create(bed.group, id)]));
+            checkOutcomes(bed, runEvents(bed, events, id => naive.get(bed.group.find("stock")!.primary!)!.execute(createWrite(id, "a", 1))));
+        }),
+        parameters,
+    );
+    assert.equal(check.failed, true);
+});
