Test freshness, confirmation rounds, hand-over and leaving upstreams

Freshness with generated lag and isolation, 200 runs: ours holds, a replica that answers without proof fails. Confirmation rounds are shared and never serve a request that came after they began. A leaving upstream gets no new work after 3 s; a host that loses a role finishes its work in flight.

--- a/packages/routing/src/fakeGroup.ts
+++ b/packages/routing/src/fakeGroup.ts
@@ -33,6 +33,10 @@
     public readonly group: DatabaseGroup;
     public readonly networkMs: number;
     public readonly connections: FakeConnection[] = [];
+    /** Questions for the status of an upstream. */
+    public statusReads = 0;
+    /** Questions whether an upstream holds an entry. */
+    public receivedQuestions = 0;
     private readonly upstreams: ReadonlyMap<string, FakeUpstream>;
     private view: GroupView;
 
--- a/packages/routing/src/fakeGroupPeer.ts
+++ b/packages/routing/src/fakeGroupPeer.ts
@@ -26,6 +26,7 @@
     }
 
     public readStatus(timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
+        this.group.statusReads++;
         return this.ask(timeoutMs, () => Ok(this.target.status));
     }
 
@@ -64,6 +65,7 @@
 
     public *waitReceived(entry: LogPosition, timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
         const target = this.target;
+        this.group.receivedQuestions++;
         return yield* this.group.ask(target, timeoutMs, function*() {
             while (compareLogPositions(target.received, entry) < 0 && target.acceptedTerm <= entry.term) yield* target.received$.wait();
             return Ok(target.status);
--- a/packages/routing/src/fakeOwnerBed.ts
+++ b/packages/routing/src/fakeOwnerBed.ts
@@ -19,6 +19,7 @@
     public readonly group: FakeGroup;
     /** Upstreams without an owner, as after the loss of a VM. */
     public readonly unowned = new Set<string>();
+    public readonly configuration: ConfigurationSource;
     private readonly owners = new Map<string, UpstreamOwner>();
 
     private constructor(slots: number, classes: readonly WorkClass[], options: Partial<FakeGroupOptions>) {
@@ -31,9 +32,9 @@
             accounts: new Map(),
             groups: new Map([["stock", group]]),
         };
-        const configuration: ConfigurationSource = { current, changed: Signal.create<Configuration>() };
+        this.configuration = { current, changed: Signal.create<Configuration>() };
         for (const upstream of group.upstreams) {
-            const parts = { clock: this.clock, random: this.random, peer: this.group, groups: this.group, owners: this, configuration };
+            const parts = { clock: this.clock, random: this.random, peer: this.group, groups: this.group, owners: this, configuration: this.configuration };
             this.owners.set(upstream.id, UpstreamOwner.create({ ...parts, group, upstream }));
         }
     }
--- /dev/null
+++ b/packages/routing/src/ownerFreshness.test.ts
@@ -0,0 +1,158 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { Task } from "@vanillarouter/base/task";
+import * as fc from "fast-check";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "ts-results";
+import { ConfirmedPosition } from "./confirmedPosition";
+import { Diagnostics } from "./diagnostics";
+import { FakeOwnerBed } from "./fakeOwnerBed";
+import { NaiveOwner } from "./naiveOwner";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+
+interface Step {
+    readonly waitMs: number;
+    readonly action: "write" | "read" | "lag" | "catchUp" | "isolate" | "heal";
+    readonly maxAgeMs: number;
+}
+
+interface Answered {
+    readonly position: number;
+    readonly startedAt: number;
+    readonly endedAt: number;
+    readonly maxAgeMs: number;
+}
+
+interface Observation {
+    readonly writes: Answered[];
+    readonly reads: Answered[];
+}
+
+type Answer = Result<{ readonly at: { readonly position: number; }; }, Failure>;
+type Execute = (req: OwnerRequest) => Operation<Answer>;
+
+const stepArbitrary: fc.Arbitrary<Step> = fc.record({
+    waitMs: fc.integer({ min: 0, max: 200 }),
+    action: fc.constantFrom("write", "write", "read", "read", "lag", "catchUp", "isolate", "heal"),
+    maxAgeMs: fc.constantFrom(0, 50, 300, 2_000),
+});
+
+function createRequest(kind: StatementKind.Read | StatementKind.Write, requestId: string, upstream: string, maxAgeMs?: number): OwnerRequest {
+    const common = { group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", timeoutMs: 600, repeatable: true };
+    return { ...common, kind, requestId, sql: requestId, upstream, maxAgeMs };
+}
+
+function start(bed: FakeOwnerBed, operation: Operation<Answer>, list: Answered[], maxAgeMs: number): void {
+    const startedAt = bed.clock.now();
+    const task = Task.start(operation);
+    task.onSettled(() =>
+        task.deliver(answer => {
+            if (answer.ok) list.push({ position: answer.val.at.position, startedAt, endedAt: bed.clock.now(), maxAgeMs });
+        }, err => assert.fail(String(err)))
+    );
+}
+
+/** Writes on the primary, which stays the same, and reads on replica b. */
+function observe(steps: readonly Step[], createRead: (bed: FakeOwnerBed) => Execute): Observation {
+    const bed = FakeOwnerBed.create();
+    const read = createRead(bed);
+    const observation: Observation = { writes: [], reads: [] };
+    for (const [index, step] of steps.entries()) {
+        const replica = bed.group.get("b");
+        if (step.action === "lag") replica.applyDelayMs = 1_000;
+        else if (step.action === "catchUp") replica.applyDelayMs = 0;
+        else if (step.action === "isolate") replica.isReplicating = false;
+        else if (step.action === "heal") bed.group.heal();
+        else if (step.action === "write") start(bed, bed.get("a").execute(createRequest(StatementKind.Write, `w${index}`, "a")), observation.writes, 0);
+        else start(bed, read(createRequest(StatementKind.Read, `r${index}`, "b", step.maxAgeMs)), observation.reads, step.maxAgeMs);
+        bed.clock.advance(step.waitMs);
+    }
+    bed.clock.advance(2_000);
+    return observation;
+}
+
+/** A read must see every write acknowledged before the data that it may see; with age 0, before the read began. */
+function checkAges(observation: Observation): void {
+    for (const read of observation.reads) {
+        const since = read.maxAgeMs === 0 ? read.startedAt : read.endedAt - read.maxAgeMs;
+        for (const write of observation.writes) {
+            if (write.endedAt < since) assert.ok(read.position >= write.position, `read at ${read.position} misses ${write.position}`);
+        }
+    }
+}
+
+const stepsArbitrary = fc.array(stepArbitrary, { minLength: 2, maxLength: 30 });
+const parameters = { seed: 20_261_204, numRuns: 200 };
+
+test("freshness: data is never older than asked; a replica that answers without proof fails this", () => {
+    let answered = 0;
+    fc.assert(
+        fc.property(stepsArbitrary, steps => {
+            const observation = observe(steps, bed => req => bed.get("b").execute(req));
+            answered += observation.reads.length;
+            checkAges(observation);
+        }),
+        parameters,
+    );
+    assert.ok(answered > 200, `${answered} reads were answered`);
+    const check = fc.check(
+        fc.property(stepsArbitrary, steps =>
+            checkAges(observe(steps, bed => {
+                const naive = NaiveOwner.create(bed.group, "b");
+                return req => naive.execute(req);
+            }))),
+        parameters,
+    );
+    assert.equal(check.failed, true);
+});
+
+function run<T>(bed: FakeOwnerBed, operation: Operation<Result<T, Failure>>, ms: number): Result<T, Failure> | undefined {
+    let result: Result<T, Failure> | undefined;
+    const task = Task.start(operation);
+    task.onSettled(() => task.deliver(value => result = value, err => assert.fail(String(err))));
+    bed.clock.advance(ms);
+    return result;
+}
+
+test("freshness: an upstream cut off from the others refuses what it cannot prove, with its number", () => {
+    const bed = FakeOwnerBed.create();
+    assert.ok(run(bed, bed.get("a").execute(createRequest(StatementKind.Read, "r1", "a", 500)), 50)?.ok);
+    bed.group.failOver("a", 60_000);
+    const young = run(bed, bed.get("a").execute(createRequest(StatementKind.Read, "r2", "a", 500)), 50);
+    assert.ok(young?.ok, "a proof from before still holds");
+    bed.clock.advance(600);
+    for (const maxAgeMs of [500, 0]) {
+        const late = run(bed, bed.get("a").execute(createRequest(StatementKind.Read, `late${maxAgeMs}`, "a", maxAgeMs)), 700);
+        assert.ok(late !== undefined && !late.ok && late.val.code === Diagnostics.notFreshEnough.code);
+    }
+});
+
+test("confirmPosition: a round that began before a request does not serve it, and one round serves all that wait", () => {
+    const bed = FakeOwnerBed.create();
+    const confirm = (): Operation<Result<ConfirmedPosition, Failure>> => bed.get("a").confirmPosition("stock", "a", 500);
+    const positions: number[] = [];
+    const ask = (): void => {
+        const task = Task.start(confirm());
+        task.onSettled(() => task.deliver(result => positions.push(result.ok ? result.val.position.position : -1), () => {}));
+    };
+    ask();
+    // The status of the first round was taken at 0.5 ms; what is written now must be seen by those that ask now.
+    bed.clock.advance(0.75);
+    const written = bed.group.get("a").append({ requestId: "w1", sql: "w1", isCancellation: false });
+    const statuses = bed.group.statusReads;
+    for (let index = 0; index < 50; index++) ask();
+    bed.clock.advance(20);
+    assert.equal(positions.length, 51);
+    assert.ok(positions.slice(1).every(position => position >= written.position));
+    assert.ok(bed.group.statusReads - statuses <= 6, `${bed.group.statusReads - statuses} questions for 50 requests`);
+});
+
+test("confirmPosition: fails when another term has been accepted by a majority", () => {
+    const bed = FakeOwnerBed.create();
+    bed.group.failOver("a", 60_000);
+    const answer = run(bed, bed.get("a").confirmPosition("stock", "a", 400), 500);
+    assert.ok(answer !== undefined && !answer.ok);
+});
--- /dev/null
+++ b/packages/routing/src/ownerHost.test.ts
@@ -0,0 +1,90 @@
+import { Failure } from "@vanillarouter/base/failure";
+import { Operation } from "@vanillarouter/base/operation";
+import { Rank } from "@vanillarouter/base/rank";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
+import * as assert from "node:assert/strict";
+import { test } from "node:test";
+import { Result } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { FakeOwnerBed } from "./fakeOwnerBed";
+import { NaiveOwner } from "./naiveOwner";
+import { OwnerHost } from "./ownerHost";
+import { OwnerRequest } from "./ownerRequest";
+import { StatementKind } from "./statementKind";
+
+function createRequest(requestId: string, upstream: string, kind: StatementKind.Read | StatementKind.Write): OwnerRequest {
+    const common = { group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", sql: requestId, timeoutMs: 500, repeatable: true };
+    return { ...common, requestId, upstream, kind, maxAgeMs: 60_000 };
+}
+
+function createHost(bed: FakeOwnerBed): OwnerHost {
+    const { clock, random, group, configuration } = bed;
+    return OwnerHost.create({ clock, random, peer: group, groups: group, owners: bed, configuration });
+}
+
+function run<T>(bed: FakeOwnerBed, operation: Operation<Result<T, Failure>>, ms = 100): Result<T, Failure> | undefined {
+    let result: Result<T, Failure> | undefined;
+    const task = Task.start(operation);
+    task.onSettled(() => task.deliver(value => result = value, err => assert.fail(String(err))));
+    bed.clock.advance(ms);
+    return result;
+}
+
+test("P5: a host refuses upstreams that it does not own as not run, but never denies a commit or an outcome", () => {
+    const bed = FakeOwnerBed.create();
+    const host = createHost(bed);
+    const write = run(bed, host.execute(createRequest("w1", "a", StatementKind.Write)));
+    assert.ok(write !== undefined && !write.ok && write.val.code === Diagnostics.ownerChanged.code && write.val.outcome === RunOutcome.DidNotRun);
+    const commit = run(bed, host.endTransaction({ transactionId: "t1", upstream: "a", commit: true, timeoutMs: 100 }));
+    assert.ok(commit !== undefined && !commit.ok && commit.val.outcome === RunOutcome.Unknown);
+    const outcome = run(bed, host.resolveOutcome({ requestId: "w1", group: "stock", upstream: "a", term: 1, timeoutMs: 100 }));
+    assert.ok(outcome !== undefined && !outcome.ok && outcome.val.outcome === RunOutcome.Unknown);
+});
+
+test("a host that loses a role finishes what is in flight, refuses new work and closes its connections", () => {
+    const bed = FakeOwnerBed.create(2, [], { measureStatement: () => 50 });
+    const host = createHost(bed);
+    const before = bed.group.get("a").openConnections;
+    host.setOwned(["a"]);
+    bed.clock.advance(200);
+    assert.deepEqual(host.owned, ["a"]);
+    assert.ok(bed.group.get("a").openConnections > before);
+    const begin = { requestId: "t1", upstream: "a", group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", term: 1, timeoutMs: 5_000 };
+    assert.ok(run(bed, host.begin(begin))?.ok);
+    let inFlight: Result<unknown, Failure> | undefined;
+    const task = Task.start(host.execute(createRequest("w1", "a", StatementKind.Write)));
+    task.onSettled(() => task.deliver(value => inFlight = value, () => {}));
+    bed.clock.advance(10);
+    host.setOwned([]);
+    const refused = run(bed, host.execute(createRequest("w2", "a", StatementKind.Write)), 5);
+    assert.ok(refused !== undefined && !refused.ok && refused.val.outcome === RunOutcome.DidNotRun);
+    bed.clock.advance(100);
+    assert.ok(inFlight?.ok);
+    assert.ok(run(bed, host.executeInTransaction({ transactionId: "t1", upstream: "a", sequence: 0, sql: "insert", timeoutMs: 500 }))?.ok);
+    assert.ok(run(bed, host.endTransaction({ transactionId: "t1", upstream: "a", commit: true, timeoutMs: 500 }))?.ok);
+    bed.clock.advance(1_000);
+    assert.equal(bed.group.get("a").openConnections, before);
+    assert.equal(bed.group.finalLog.filter(entry => entry.requestId === "w2").length, 0);
+});
+
+test("P7: an upstream that says it is leaving gets no new work after 3 s, a primary's writes until then; the naive owner goes on", () => {
+    for (const upstream of ["a", "b"]) {
+        const bed = FakeOwnerBed.create();
+        const naive = NaiveOwner.create(bed.group, upstream);
+        const target = bed.group.get(upstream);
+        target.isLeaving = true;
+        bed.clock.advance(1_000);
+        const early = run(bed, bed.get(upstream).execute(createRequest("r1", upstream, StatementKind.Read)));
+        assert.equal(early?.ok, upstream === "a", "a primary goes on until another one can take over");
+        bed.clock.advance(2_000);
+        const started = target.statementsStarted;
+        for (let index = 0; index < 10; index++) {
+            const answer = run(bed, bed.get(upstream).execute(createRequest(`late${index}`, upstream, StatementKind.Read)));
+            assert.ok(answer !== undefined && !answer.ok && answer.val.code === Diagnostics.upstreamLeaving.code);
+        }
+        assert.equal(target.statementsStarted, started);
+        run(bed, naive.execute(createRequest("naive", upstream, StatementKind.Read)));
+        assert.equal(target.statementsStarted, started + 1);
+    }
+});
--- a/packages/routing/src/upstreamOwner.test.ts
+++ b/packages/routing/src/upstreamOwner.test.ts
@@ -75,3 +75,47 @@
     assert.ok(answer?.ok);
     assert.ok(answer.val.at.position >= write.val.at.position);
 });
+
+test("P2: a record of an older term on a new primary is not an answer until a replica holds an entry of the current term", () => {
+    const bed = FakeOwnerBed.create();
+    for (const id of ["b", "c"]) bed.group.get(id).isReplicating = false;
+    const lost = run(bed.clock, bed.get("a").execute(createRequest({ timeoutMs: 200 })), 300);
+    assert.equal(readOutcome(lost), RunOutcome.Unknown);
+    assert.equal(bed.group.failOver(), "a", "the old primary has the longest log");
+    const question = { requestId: "r1", group: "stock", upstream: "a", term: 2, timeoutMs: 200 };
+    assert.equal(readOutcome(run(bed.clock, bed.get("a").resolveOutcome(question), 300)), RunOutcome.Unknown);
+    bed.group.heal();
+    assert.equal(readOutcome(run(bed.clock, bed.get("a").resolveOutcome(question), 300)), "ok");
+});
+
+test("P6: a lost reply is retried under the same id without holding a slot, and the write runs once", () => {
+    const bed = FakeOwnerBed.create();
+    bed.group.get("a").repliesToLose = 2;
+    const answers = ["r1", "r2"].map(requestId => Task.start(bed.get("a").execute(createRequest({ requestId }))));
+    bed.clock.advance(8);
+    const other = run(bed.clock, bed.get("a").execute(createRequest({ requestId: "r3" })), 30);
+    assert.equal(readOutcome(other), "ok");
+    bed.clock.advance(200);
+    for (const task of answers) task.onSettled(() => task.deliver(result => assert.equal(readOutcome(result), "ok"), err => assert.fail(String(err))));
+    assert.ok(answers.every(task => task.isSettled));
+    assert.deepEqual(bed.group.finalLog.map(entry => entry.requestId), [undefined, "r1", "r2", "r3"]);
+});
+
+test("P5: a repetition of a cancelled request is answered as not run, for ever", () => {
+    const bed = FakeOwnerBed.create();
+    const cancelled = run(bed.clock, bed.get("a").resolveOutcome({ requestId: "r1", group: "stock", upstream: "a", term: 1, timeoutMs: 200 }), 250);
+    assert.equal(readOutcome(cancelled), RunOutcome.DidNotRun);
+    const repeated = run(bed.clock, bed.get("a").execute(createRequest()), 500);
+    assert.equal(readOutcome(repeated), RunOutcome.DidNotRun);
+    assert.equal(bed.group.finalLog.filter(entry => entry.requestId === "r1" && !entry.isCancellation).length, 0);
+});
+
+test("writes that wait for acknowledgement share one question to each replica", () => {
+    const bed = FakeOwnerBed.create(5);
+    const questions = bed.group.receivedQuestions;
+    const tasks = Array.from({ length: 200 }, (_, index) => Task.start(bed.get("a").execute(createRequest({ requestId: `r${index}` }))));
+    bed.clock.advance(500);
+    assert.ok(tasks.every(task => task.isSettled));
+    const asked = bed.group.receivedQuestions - questions;
+    assert.ok(asked < 200, `${asked} questions to two replicas for 200 writes`);
+});
