Take over the upstreams of a zone none of whose VMs answers

Nobody was left to declare the last VMs of a zone dead, so its upstreams had no owner for ever when all VMs of a zone died at once. Relays now tell their zone which zones they do not reach; a zone counts as unreachable when all relays say so. Membership is split into protocol and sender.

--- a/packages/vm/src/heartbeat.ts
+++ b/packages/vm/src/heartbeat.ts
@@ -1,6 +1,7 @@
 import { VmDescription } from "@vanillarouter/base/vmDescription";
 import { HeartbeatKind } from "./heartbeatKind";
 import { MemberUpdate } from "./memberUpdate";
+import { ZoneNotice } from "./zoneNotice";
 
 /** A message between members. */
 export interface Heartbeat {
@@ -15,4 +16,5 @@
     /** Digest of the sender's configuration versions. */
     readonly configurationMark: number;
     readonly updates: readonly MemberUpdate[];
+    readonly notices: readonly ZoneNotice[];
 }
--- a/packages/vm/src/heartbeatCodec.ts
+++ b/packages/vm/src/heartbeatCodec.ts
@@ -22,6 +22,7 @@
     z.string().max(128),
     z.number(),
     z.array(z.tuple([...vmFields, z.enum(MemberState)])).max(64),
+    z.array(z.tuple([name, z.number(), z.array(name).max(64)])).max(8),
 ]);
 
 type VmFields = [string, string, string, number, number, number, boolean];
@@ -40,9 +41,10 @@
     /** Writes a message with as many of its updates, in their order, as fit into a packet. */
     public encode(message: Heartbeat): Uint8Array {
         const { kind, sender, receiver, sequence, subject, configurationMark } = message;
+        const notices = message.notices.map(notice => [notice.relay, notice.sequence, notice.unreachable]);
         for (let count = message.updates.length;; count = count >> 1) {
             const updates = message.updates.slice(0, count).map(update => [...writeVm(update.vm), update.state]);
-            const body = encode([kind, writeVm(sender), receiver, sequence, subject, configurationMark, updates]);
+            const body = encode([kind, writeVm(sender), receiver, sequence, subject, configurationMark, updates, notices]);
             if (body.length + macBytes <= maxPacketBytes || count === 0) return Buffer.concat([this.sign(body), body]);
         }
     }
@@ -55,8 +57,17 @@
         try {
             const parsed = schema.safeParse(decode(body));
             if (!parsed.success) return undefined;
-            const [kind, sender, receiver, sequence, subject, configurationMark, updates] = parsed.data;
-            return { kind, sender: readVm(sender), receiver, sequence, subject, configurationMark, updates: updates.map(readUpdate) };
+            const [kind, sender, receiver, sequence, subject, configurationMark, updates, notices] = parsed.data;
+            return {
+                kind,
+                sender: readVm(sender),
+                receiver,
+                sequence,
+                subject,
+                configurationMark,
+                updates: updates.map(readUpdate),
+                notices: notices.map(([relay, noticeSequence, unreachable]) => ({ relay, sequence: noticeSequence, unreachable })),
+            };
         }
         catch {
             return undefined;
--- /dev/null
+++ b/packages/vm/src/heartbeatSender.ts
@@ -0,0 +1,119 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { RandomSource } from "@vanillarouter/base/randomSource";
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { DatagramTransport } from "./datagramTransport";
+import { HeartbeatCodec } from "./heartbeatCodec";
+import { HeartbeatKind } from "./heartbeatKind";
+import { MemberState } from "./memberState";
+import { MemberTable } from "./memberTable";
+import { MemberUpdate } from "./memberUpdate";
+import { NoticeBoard } from "./noticeBoard";
+import { pickPeers } from "./pickPeers";
+import { SeedAddress } from "./seedAddress";
+import { UpdateQueue } from "./updateQueue";
+
+interface HeartbeatSenderOptions {
+    readonly transport: DatagramTransport;
+    readonly codec: HeartbeatCodec;
+    readonly clock: Clock;
+    readonly random: RandomSource;
+    readonly table: MemberTable;
+    readonly readSelf: () => VmDescription;
+    readonly readConfigurationMark: () => number;
+}
+
+/** One message; what is absent has no meaning for its kind. */
+interface Outgoing {
+    readonly subject?: string;
+    readonly updates?: readonly MemberUpdate[];
+    readonly sequence?: number;
+}
+
+const updatesPerMessage = 6;
+const gossipFanOut = 3;
+/** News are sent this often as fast as the interval allows; what is left of their repetitions goes along with probes. */
+const urgentSends = 9;
+const gossipIntervalMs = 50;
+
+/** Sends heartbeats with the news that go along with them, and spreads urgent news by gossip of bounded rate and fan-out. */
+export class HeartbeatSender {
+    public readonly notices = NoticeBoard.create();
+    private readonly queue = UpdateQueue.create();
+    private sequence: number;
+    private gossipPending = false;
+    private lastGossipAt = -gossipIntervalMs;
+    private stopped = false;
+
+    private constructor(private readonly options: HeartbeatSenderOptions) {
+        this.sequence = Math.floor(options.random.next() * 0x40000000);
+    }
+
+    public static create(options: HeartbeatSenderOptions): HeartbeatSender {
+        return new HeartbeatSender(options);
+    }
+
+    /** Sends a message to a member, with news; returns its sequence number. */
+    public send(kind: HeartbeatKind, receiver: VmDescription, message: Outgoing = {}): number {
+        return this.sendTo(receiver, receiver.id, kind, { ...message, updates: message.updates ?? this.takeUpdates(receiver) });
+    }
+
+    /** Sends a message to an address; an empty receiver stands for whoever has it. Returns its sequence number. */
+    public sendTo(address: SeedAddress, receiver: string, kind: HeartbeatKind, message: Outgoing = {}): number {
+        const sequence = message.sequence ?? ++this.sequence;
+        if (this.stopped) return sequence;
+        const packet = this.options.codec.encode({
+            kind,
+            sender: this.options.readSelf(),
+            receiver,
+            sequence,
+            subject: message.subject ?? "",
+            configurationMark: this.options.readConfigurationMark(),
+            updates: message.updates ?? [],
+            notices: kind === HeartbeatKind.SyncPage ? [] : this.notices.take(),
+        });
+        this.options.transport.send(address.host, address.heartbeatPort, packet);
+        return sequence;
+    }
+
+    /** Spreads an update from now on. */
+    public spread(update: MemberUpdate): void {
+        this.queue.push(update);
+        this.scheduleGossip();
+    }
+
+    /** Sends the news to some members soon, at most once in an interval. */
+    public scheduleGossip(): void {
+        if (this.gossipPending) return;
+        this.gossipPending = true;
+        const waitMs = Math.max(0, this.lastGossipAt + gossipIntervalMs - this.options.clock.now());
+        this.options.clock.startTimer(waitMs, () => this.gossip(gossipFanOut));
+    }
+
+    /** Sends the news to up to `fanOut` members now. */
+    public gossip(fanOut: number): void {
+        this.gossipPending = false;
+        this.lastGossipAt = this.options.clock.now();
+        if (this.stopped) return;
+        for (const peer of this.pickPeers(fanOut)) this.send(HeartbeatKind.Gossip, peer);
+        if (this.queue.hasFresh(urgentSends) || this.notices.hasFresh(urgentSends)) this.scheduleGossip();
+    }
+
+    /** Picks live members of the zone at random, other than this VM and the excluded one. */
+    public pickPeers(count: number, excluded = ""): readonly VmDescription[] {
+        const self = this.options.readSelf();
+        return pickPeers(this.options.table.listLive(self.zone), this.options.random, count, [self.id, excluded]);
+    }
+
+    /** Sends nothing from now on. */
+    public stop(): void {
+        this.stopped = true;
+    }
+
+    /** Updates for a message. One that doubts the receiver goes first, so that it can refute. */
+    private takeUpdates(receiver: VmDescription): readonly MemberUpdate[] {
+        const { table, readSelf } = this.options;
+        const known = table.find(receiver.id);
+        const updates = this.queue.take(updatesPerMessage, table.listLive(readSelf().zone).length);
+        return known === undefined || known.state === MemberState.Alive ? updates : [{ vm: known.vm, state: known.state }, ...updates];
+    }
+}
--- a/packages/vm/src/membership.test.ts
+++ b/packages/vm/src/membership.test.ts
@@ -185,7 +185,7 @@
 test("messages with another key, of other VMs or malformed change nothing (guards against forged members)", () => {
     const zone = Zone.create(3, 5);
     const sender = { id: "forged", zone: "z1", host: "forged", heartbeatPort: 1, linkPort: 2, incarnation: 9, leaving: false };
-    const message = { kind: HeartbeatKind.Gossip, sender, receiver: "vm0", sequence: 1, subject: "", configurationMark: 0, updates: [] };
+    const message = { kind: HeartbeatKind.Gossip, sender, receiver: "vm0", sequence: 1, subject: "", configurationMark: 0, updates: [], notices: [] };
     const transport = zone.network.open("forged");
     const signed = codec.encode({ ...message, receiver: "vm2" });
     const damaged = Buffer.from(codec.encode(message));
--- /dev/null
+++ b/packages/vm/src/relayedProbes.ts
@@ -0,0 +1,41 @@
+import { VmDescription } from "@vanillarouter/base/vmDescription";
+
+/** A ping sent on behalf of another member. */
+interface RelayedProbe {
+    readonly origin: VmDescription;
+    /** Sequence number of the origin's request. */
+    readonly sequence: number;
+    readonly sentAt: number;
+}
+
+const maxProbes = 64;
+
+/** Pings sent for others whose acks are to be passed on, by the sequence number of the ping. */
+export class RelayedProbes {
+    private readonly probes = new Map<number, RelayedProbe>();
+
+    private constructor() {}
+
+    public static create(): RelayedProbes {
+        return new RelayedProbes();
+    }
+
+    /** Adds a probe; beyond the limit the oldest is forgotten. */
+    public add(sequence: number, probe: RelayedProbe): void {
+        const [oldest] = this.probes.keys();
+        if (this.probes.size >= maxProbes && oldest !== undefined) this.probes.delete(oldest);
+        this.probes.set(sequence, probe);
+    }
+
+    public take(sequence: number): RelayedProbe | undefined {
+        const probe = this.probes.get(sequence);
+        this.probes.delete(sequence);
+        return probe;
+    }
+
+    public removeBefore(time: number): void {
+        for (const [sequence, probe] of this.probes) {
+            if (probe.sentAt < time) this.probes.delete(sequence);
+        }
+    }
+}
--- a/packages/vm/src/roleAssignment.ts
+++ b/packages/vm/src/roleAssignment.ts
@@ -21,15 +21,16 @@
 export class RoleAssignment {
     private readonly orders = new Map<string, CachedOrder>();
 
-    private constructor(private readonly table: MemberTable, private readonly selfId: string) {}
+    private constructor(private readonly table: MemberTable, private readonly selfId: string, private readonly isReachable: (zone: string) => boolean) {}
 
-    public static create(table: MemberTable, selfId: string): RoleAssignment {
-        return new RoleAssignment(table, selfId);
+    /** Makes the assignment as seen by one VM; zones that are not reachable hold no roles. */
+    public static create(table: MemberTable, selfId: string, isReachable: (zone: string) => boolean = () => true): RoleAssignment {
+        return new RoleAssignment(table, selfId, isReachable);
     }
 
     /** Returns the owner of an upstream and those who follow it, first the owner: of its own zone, else of the nearest with a VM. */
     public orderOwners(upstream: string, zone: string): readonly Member[] {
-        const home = this.table.listEligible(zone).length > 0 ? zone : this.findNearestZone(zone);
+        const home = this.canHoldRoles(zone) ? zone : this.findNearestZone(zone);
         return home === undefined ? [] : this.order(`owner:${upstream}`, home);
     }
 
@@ -58,15 +59,18 @@
     }
 
     private rankGroupZones(group: DatabaseGroup): readonly string[] {
-        const hasMembers = (zone: string): boolean => this.table.listEligible(zone).length > 0;
-        const own = [...new Set(group.upstreams.map(upstream => upstream.zone))].filter(hasMembers);
-        const zones = own.length > 0 ? own : this.table.zoneNames.filter(hasMembers);
+        const own = [...new Set(group.upstreams.map(upstream => upstream.zone))].filter(zone => this.canHoldRoles(zone));
+        const zones = own.length > 0 ? own : this.table.zoneNames.filter(zone => this.canHoldRoles(zone));
         const hash = hashName(group.name);
         return [...zones].sort((first, second) => mixHashes(hash, hashName(second)) - mixHashes(hash, hashName(first)));
     }
 
     private findNearestZone(zone: string): string | undefined {
-        return rankZones(zone, this.table.zoneNames).find(name => this.table.listEligible(name).length > 0);
+        return rankZones(zone, this.table.zoneNames).find(name => this.canHoldRoles(name));
+    }
+
+    private canHoldRoles(zone: string): boolean {
+        return this.table.listEligible(zone).length > 0 && this.isReachable(zone);
     }
 
     /** Returns the members of a zone with the highest weights for a role. */
--- a/packages/vm/src/vmNode.test.ts
+++ b/packages/vm/src/vmNode.test.ts
@@ -72,6 +72,31 @@
     cluster.close();
 });
 
+test("upstreams of a zone whose VMs all died at once are owned in another zone within 10 s, and at home again later (guards against a zone that nobody is left to declare dead)", () => {
+    const cluster = startCluster(4, 3);
+    for (let index = 0; index < 3; index++) cluster.kill(`z1-${index}`);
+    cluster.clock.advance(10_000);
+    const owners = listOwners(cluster, "u1");
+    assert.equal(owners.size, 1);
+    assert.doesNotMatch([...owners][0]!, /^z1-/);
+    cluster.start("z1-1");
+    cluster.clock.advance(20_000);
+    assert.deepEqual(listOwners(cluster, "u1"), new Set(["z1-1"]));
+    cluster.close();
+});
+
+test("one relay that does not reach a zone moves no roles (guards against a switch of owners by a broken path)", () => {
+    const cluster = startCluster(3, 4);
+    const before = listOwners(cluster, "u1");
+    const relay = cluster.nodes.get("z0-0")!.node.roles.listRelays("z0")[0]!.vm.id;
+    const reach = cluster.network.canReach.bind(cluster.network);
+    cluster.network.canReach = (first, second) =>
+        reach(first, second) && !(first === relay && second.startsWith("z1")) && !(second === relay && first.startsWith("z1"));
+    cluster.clock.advance(30_000);
+    assert.deepEqual(listOwners(cluster, "u1"), before);
+    cluster.close();
+});
+
 test("a VM that is alone and a zone cut off from the others keep their roles (guards against isolated zones that stop serving)", () => {
     const cluster = startCluster(4, 2);
     cluster.partition(["z3"]);
--- a/packages/vm/src/vmNode.ts
+++ b/packages/vm/src/vmNode.ts
@@ -31,6 +31,7 @@
 import { PeerServices } from "./peerServices";
 import { RoleAssignment } from "./roleAssignment";
 import { StoreWatcher } from "./storeWatcher";
+import { ZoneNotice } from "./zoneNotice";
 import { ZoneRelay } from "./zoneRelay";
 
 interface VmNodeOptions {
@@ -73,7 +74,7 @@
         const { table } = this.membership;
         const { replica } = this;
         const isRelay = (): boolean => this.roles.isRelay();
-        this.roles = RoleAssignment.create(table, settings.id);
+        this.roles = RoleAssignment.create(table, settings.id, zone => this.isReachable(zone));
         this.owners = OwnerRouter.create({ selfId: settings.id, replica, roles: this.roles, table, peers, readLocalOwner: () => this.localOwner });
         this.spread = ConfigurationSpread.create({
             replica,
@@ -197,9 +198,23 @@
             readSeeds: () => [...settings.seeds, ...this.listWatcher.readSeeds()],
             readConfigurationMark: () => this.replica.mark,
             onConfigurationMark: (sender, mark) => this.spread.noteMark(sender, mark),
+            onNotice: notice => this.acceptNotice(notice),
         });
     }
 
+    /** A zone is unreachable when every relay of this one says so. */
+    private isReachable(zone: string): boolean {
+        const own = this.options.settings.zone;
+        const relays = zone === own ? [] : this.roles.listRelays(own);
+        return relays.length === 0 || relays.some(relay => !(this.membership.findNotice(relay.vm.id)?.unreachable.includes(zone) ?? false));
+    }
+
+    private acceptNotice(notice: ZoneNotice): void {
+        this.relay.checkZones(notice.unreachable);
+        this.owners.changed.notifyAll();
+        this.report("zoneNotice", { relay: notice.relay, unreachable: notice.unreachable.join() });
+    }
+
     private createRelay(): ZoneRelay {
         const { settings, clock, random, peers } = this.options;
         return ZoneRelay.create({
--- a/packages/vm/src/zoneRelay.ts
+++ b/packages/vm/src/zoneRelay.ts
@@ -1,3 +1,4 @@
+import { all } from "@vanillarouter/base/all";
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { RandomSource } from "@vanillarouter/base/randomSource";
@@ -10,6 +11,7 @@
 import { MemberState } from "./memberState";
 import { MemberUpdate } from "./memberUpdate";
 import { PeerCalls } from "./peerCalls";
+import { pickPeers } from "./pickPeers";
 import { RoleAssignment } from "./roleAssignment";
 
 interface ZoneRelayOptions {
@@ -26,6 +28,8 @@
 const exchangeIntervalMs = 1_000;
 const newsDelayMs = 50;
 const maxNews = 256;
+const roundsBeforeUnreachable = 3;
+const peersPerRound = 3;
 /** An answer carries the members of this many zones at most, so its size is bounded. */
 const maxZonesPerAnswer = 2;
 
@@ -36,6 +40,8 @@
 export class ZoneRelay {
     private readonly tasks: TaskGroup;
     private readonly news = new Map<string, MemberUpdate>();
+    private readonly unreachable = new Set<string>();
+    private readonly running = new Set<string>();
     private newsPending = false;
     private turn = 0;
 
@@ -56,11 +62,22 @@
             const zones = this.listOtherZones();
             const zone = zones[this.turn++ % Math.max(1, zones.length)];
             if (zone !== undefined) this.startExchange(zone, []);
+            for (const suspected of this.unreachable) this.startExchange(suspected, []);
+            this.announce();
+        }
+    }
+
+    /** Checks a zone that another relay does not reach, so that the relays soon agree. */
+    public checkZones(zones: readonly string[]): void {
+        if (!this.options.roles.isRelay()) return;
+        for (const zone of zones) {
+            if (zone !== this.options.zone && !this.unreachable.has(zone)) this.startExchange(zone, []);
         }
     }
 
     /** Answers another relay: takes its updates over and returns the members of zones that it knows otherwise. */
     public answer(exchange: MemberExchange): MemberExchange {
+        this.noteReached(exchange.zone);
         this.learn(exchange.updates);
         const { table } = this.options.membership;
         const differing = table.zoneNames.filter(zone => table.readDigest(zone) !== (exchange.digests[zone] ?? 0));
@@ -92,16 +109,52 @@
     }
 
     private startExchange(zone: string, updates: readonly MemberUpdate[]): void {
-        const relays = this.options.roles.listRelays(zone);
-        const relay = relays[Math.floor(this.options.random.next() * relays.length)];
-        if (relay !== undefined) this.tasks.start(this.exchange(relay.vm, updates));
+        if (!this.running.has(zone) || updates.length > 0) this.tasks.start(this.exchange(zone, updates));
+    }
+
+    /** Exchanges with one relay of the zone; without an answer with others, and takes the zone for unreachable if none answers. */
+    private *exchange(zone: string, updates: readonly MemberUpdate[]): Operation<void> {
+        this.running.add(zone);
+        try {
+            for (let round = 0; round < roundsBeforeUnreachable; round++) {
+                const peers = this.pickPeers(zone, round === 0 ? 1 : peersPerRound);
+                const answers = yield* all(peers.map(peer => this.exchangeWith(peer, updates)));
+                if (answers.includes(true)) return;
+            }
+            this.unreachable.add(zone);
+            this.announce();
+        }
+        finally {
+            this.running.delete(zone);
+        }
+    }
+
+    /** Relays of the zone first, then any of its VMs. */
+    private pickPeers(zone: string, count: number): readonly VmDescription[] {
+        const { membership, random, roles } = this.options;
+        const relays = pickPeers(roles.listRelays(zone), random, count, []);
+        return relays.length >= count && random.next() < 0.5 ? relays : pickPeers([...membership.table.listLive(zone)], random, count, []);
     }
 
-    private *exchange(relay: VmDescription, updates: readonly MemberUpdate[]): Operation<void> {
-        const answer = yield* this.options.peers.exchangeMembers(relay, this.createExchange(updates));
-        if (answer.err) return;
+    private *exchangeWith(peer: VmDescription, updates: readonly MemberUpdate[]): Operation<boolean> {
+        const answer = yield* this.options.peers.exchangeMembers(peer, this.createExchange(updates));
+        if (answer.err) return false;
+        this.noteReached(answer.val.zone);
         this.learn(answer.val.updates);
-        this.options.onConfigurationMark(relay, answer.val.configurationMark);
+        this.options.onConfigurationMark(peer, answer.val.configurationMark);
+        return true;
+    }
+
+    private noteReached(zone: string): void {
+        if (this.unreachable.delete(zone)) this.announce();
+    }
+
+    /** Tells the zone what it does not know yet of the zones that this relay does not reach. */
+    private announce(): void {
+        const { membership, roles } = this.options;
+        const unreachable = [...this.unreachable].filter(zone => membership.table.listLive(zone).length > 0).sort();
+        const known = membership.findNotice(membership.description.id)?.unreachable ?? [];
+        if (roles.isRelay() && unreachable.join() !== known.join()) membership.announceZones(unreachable);
     }
 
     private createExchange(updates: readonly MemberUpdate[]): MemberExchange {
