Refuse an upstream id that two groups share

Owners are found by upstream id alone, so ids must differ across groups. The check reads all group shards and the transaction checks that they have not changed since.

--- a/packages/platform/src/checkReferences.ts
+++ b/packages/platform/src/checkReferences.ts
@@ -1,14 +1,22 @@
 import { CallerAccount } from "@vanillarouter/base/callerAccount";
 import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { Failure } from "@vanillarouter/base/failure";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { ConfigurationSection } from "./configurationSection";
 import { ConfigurationShard } from "./configurationShard";
 import { Diagnostics } from "./diagnostics";
+import { findSection } from "./findSection";
 
-/** Checks that every account names an existing class, if both shards are given. */
+/**
+ * Checks what concerns several shards, as far as they are given: every account names an existing class, and no two groups
+ * have an upstream of the same id.
+ */
 export function checkReferences(shards: ReadonlyMap<string, ConfigurationShard>): Failure | undefined {
-    const classes = shards.get("classes");
-    const accounts = shards.get("accounts");
+    return checkAccounts(shards.get("classes"), shards.get("accounts")) ?? checkUpstreams(shards.values());
+}
+
+function checkAccounts(classes: ConfigurationShard | undefined, accounts: ConfigurationShard | undefined): Failure | undefined {
     if (classes === undefined || accounts === undefined) return undefined;
     for (const [user, item] of accounts.items) {
         const { defaultClass } = item.value as CallerAccount;
@@ -16,3 +24,18 @@
     }
     return undefined;
 }
+
+function checkUpstreams(shards: Iterable<ConfigurationShard>): Failure | undefined {
+    const groups = new Map<string, string>();
+    for (const shard of shards) {
+        if (findSection(shard.name) !== ConfigurationSection.Groups) continue;
+        for (const [group, item] of shard.items) {
+            for (const { id } of (item.value as DatabaseGroup).upstreams) {
+                const other = groups.get(id);
+                if (other !== undefined) return createFailure(Diagnostics.duplicateUpstream, RunOutcome.DidNotRun, id, other, group);
+                groups.set(id, group);
+            }
+        }
+    }
+    return undefined;
+}
--- a/packages/platform/src/configurationEditor.test.ts
+++ b/packages/platform/src/configurationEditor.test.ts
@@ -101,6 +101,19 @@
         assert.deepEqual((await run(editor.readHistory(10))).unwrap(), []);
     }));
 
+test("two groups cannot have an upstream of the same id, even if made at the same moment (guards against one owner queue for two databases)", () =>
+    withEditor(async editor => {
+        const upstream = { id: "u1", zone: "z1", host: "h", port: 1, slots: 1, maxConnections: 2 };
+        const edit = (name: string): ConfigurationChange => ({
+            author: "ana",
+            edits: [{ section: ConfigurationSection.Groups, name, value: { name, upstreams: [upstream] } }],
+        });
+        const results = await Promise.all(["g1", "g2", "g3"].map(name => run(editor.apply(edit(name)))));
+        assert.equal(results.filter(result => result.ok).length, 1);
+        const codes = results.map(result => result.err ? result.val.code : 0).filter(code => code !== 0);
+        assert.deepEqual(codes, [Diagnostics.duplicateUpstream.code, Diagnostics.duplicateUpstream.code]);
+    }));
+
 test("a shard above a megabyte is refused before it reaches the store (guards against a shard that no VM can load)", () =>
     withEditor(async (editor, server) => {
         const edits = Array.from({ length: 9_000 }, (_, index) => ({
--- a/packages/platform/src/configurationEditor.ts
+++ b/packages/platform/src/configurationEditor.ts
@@ -25,6 +25,7 @@
 import { KeyValueStore } from "./keyValueStore";
 import { parseAuditRecord } from "./parseAuditRecord";
 import { parseShard } from "./parseShard";
+import { shardNames } from "./shardNames";
 import { StoreWrite } from "./storeWrite";
 
 interface EditorOptions {
@@ -107,7 +108,11 @@
 
     private *loadShards(edits: readonly ConfigurationEdit[]): Operation<Result<ShardMap, Failure>> {
         const names = new Set(edits.map(edit => findShard(edit.section, edit.name)));
+        // What is compared across shards is read with them, and the transaction checks that none of it has changed.
         if (edits.some(edit => edit.section !== ConfigurationSection.Groups)) names.add("classes").add("accounts");
+        if (edits.some(edit => edit.section === ConfigurationSection.Groups)) {
+            for (const name of shardNames) names.add(name);
+        }
         const shards = new Map<string, ConfigurationShard>();
         for (const name of names) {
             const entry = yield* this.options.store.read(configurationKeys.formatShardKey(name), callTimeoutMs);
--- a/packages/platform/src/diagnostics.ts
+++ b/packages/platform/src/diagnostics.ts
@@ -31,4 +31,5 @@
     emptyChange: message(1510, "the change edits nothing", "Name at least one entry."),
     sessionNotCreated: message(1511, "no lease session could be created: {0}", "Retry when the store answers again."),
     callLimitReached: message(1512, "this VM has {0} calls to the store open, its limit", "Retry later."),
+    duplicateUpstream: message(1513, "upstream id {0} is used by the groups {1} and {2}", "Give every upstream an id of its own."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -9,7 +9,7 @@
 /** The platform's key-value store. Every call ends within its timeout. */
 export interface KeyValueStore {
     read(key: string, timeoutMs: number): Operation<Result<StoreEntry | undefined, Failure>>;
-    /** Reads several keys, at most 64, as of one moment. Absent keys are left out. */
+    /** Reads several keys one after another, so not as of one moment. Absent keys are left out. */
     readAll(keys: readonly string[], timeoutMs: number): Operation<Result<readonly StoreEntry[], Failure>>;
     /** Lists keys below a prefix in ascending order; with a separator, up to and including its next occurrence. */
     listKeys(prefix: string, separator: string | undefined, timeoutMs: number): Operation<Result<readonly string[], Failure>>;
