Check absent shards in a change too

Two groups with the same upstream id could be made at the same moment in two shards that did not exist yet: only existing shards were checked.

--- a/packages/platform/src/configurationEditor.ts
+++ b/packages/platform/src/configurationEditor.ts
@@ -157,7 +157,7 @@
             const key = configurationKeys.formatShardKey(name);
             const target = edited.get(name);
             if (target !== undefined) writes.push({ kind: "cas", key, version: shard.version, value: formatShard(target) });
-            else if (shard.version > 0) writes.push({ kind: "check", key, version: shard.version });
+            else writes.push({ kind: "check", key, version: shard.version });
         }
         const record: AuditRecord = {
             changeId,
--- a/packages/platform/src/platformClient.ts
+++ b/packages/platform/src/platformClient.ts
@@ -192,7 +192,9 @@
 }
 
 function formatWrite(write: StoreWrite): Readonly<Record<string, unknown>> {
-    if (write.kind === "check") return { Verb: "check-index", Key: write.key, Index: write.version };
+    if (write.kind === "check") {
+        return write.version === 0 ? { Verb: "check-not-exists", Key: write.key } : { Verb: "check-index", Key: write.key, Index: write.version };
+    }
     const index = write.kind === "create" ? 0 : write.version;
     return { Verb: "cas", Key: write.key, Index: index, Value: Buffer.from(write.value ?? "").toString("base64") };
 }
--- a/packages/vm/src/testing/memoryPlatformClient.ts
+++ b/packages/vm/src/testing/memoryPlatformClient.ts
@@ -68,7 +68,7 @@
         const refusal = yield* this.begin("commit");
         if (refusal !== undefined) return Err(refusal);
         const outcome = this.platform.store.commit(writes.map(write => ({
-            verb: write.kind === "check" ? "check-index" : "cas",
+            verb: write.kind !== "check" ? "cas" : write.version === 0 ? "check-not-exists" : "check-index",
             key: write.key,
             index: write.version ?? 0,
             value: Buffer.from(write.value ?? ""),
