Judge own writes by every acknowledged write of the session again

Cause: the check had been narrowed to the writes behind the token that a request carried, because overlapping requests lost floors. Callers now pass every token that no later one covers, so the narrowing is not needed.

--- a/packages/bench/src/measure/loadGenerator.ts
+++ b/packages/bench/src/measure/loadGenerator.ts
@@ -16,15 +16,13 @@
 const longestServiceFactor = 5;
 const msPerSecond = 1000;
 
-type Positions = ReadonlyMap<string, number>;
-
 interface Franchisee {
     readonly name: string;
     readonly homeVm: number;
     /** Last acknowledged write in each group. */
     readonly positions: Map<string, number>;
-    /** The last token and the writes that led to it: requests that overlap get tokens that do not know of each other. */
-    token: { readonly text: string; readonly positions: Positions; };
+    /** Tokens that no later one covers; requests that overlap get tokens that do not know of each other. */
+    readonly tokens: Set<string>;
 }
 
 /** Sends the requests of one class to the system under measurement, in a Poisson process. */
@@ -45,7 +43,7 @@
             name: `f${index}`,
             homeVm: index % vms,
             positions: new Map<string, number>(),
-            token: { text: "", positions: new Map<string, number>() },
+            tokens: new Set<string>(),
         }));
     }
 
@@ -80,18 +78,18 @@
         const group = this.pick(this.fleet.deployment.groups).name;
         const isWrite = random.next() < load.writeShare;
         const vm = random.next() < roamingShare ? Math.floor(random.next() * this.fleet.deployment.vmZones.length) : franchisee.homeVm;
-        const token = random.next() < lostTokenShare ? undefined : franchisee.token;
+        const tokens = random.next() < lostTokenShare ? undefined : [...franchisee.tokens];
         const req = this.makeRequest(franchisee.name, group, isWrite);
-        const ownPosition = (token ?? franchisee).positions.get(group) ?? 0;
+        const ownPosition = franchisee.positions.get(group) ?? 0;
         if (isCounted) this.ledger.recordSent(load.workClass.name);
-        const task = Task.start(this.system.execute(vm, `${load.workClass.name}-${franchisee.name}`, token?.text, req));
+        const task = Task.start(this.system.execute(vm, `${load.workClass.name}-${franchisee.name}`, tokens, req));
         task.onSettled(() =>
             task.deliver(result => {
                 const position = this.ledger.record({ req, load, isWrite, ownPosition, isCounted }, result);
-                if (position === undefined || result.err) return;
-                franchisee.positions.set(group, Math.max(position, franchisee.positions.get(group) ?? 0));
-                const positions = new Map(token?.positions).set(group, position);
-                if (result.val.token !== undefined) franchisee.token = { text: result.val.token, positions };
+                if (position !== undefined) franchisee.positions.set(group, Math.max(position, franchisee.positions.get(group) ?? 0));
+                if (result.err || result.val.token === undefined) return;
+                for (const covered of tokens ?? []) franchisee.tokens.delete(covered);
+                franchisee.tokens.add(result.val.token);
             }, err => {
                 throw err;
             })
--- a/packages/bench/src/measure/naiveSystem.ts
+++ b/packages/bench/src/measure/naiveSystem.ts
@@ -40,7 +40,7 @@
         return new NaiveSystem(fleet);
     }
 
-    public *execute(vm: number, session: string, token: string | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
+    public *execute(vm: number, session: string, tokens: readonly string[] | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
         let last = createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, req.group);
         for (let attempt = 0; attempt < attempts; attempt++) {
             const view = this.views[vm]!.get(req.group)!;
--- a/packages/bench/src/measure/routedSystem.ts
+++ b/packages/bench/src/measure/routedSystem.ts
@@ -67,14 +67,16 @@
         return new RoutedSystem(fleet);
     }
 
-    public *execute(vm: number, session: string, token: string | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
+    public *execute(vm: number, session: string, tokens: readonly string[] | undefined, req: StatementRequest): Operation<Result<StatementAnswer, Failure>> {
         const { entry, idle } = this.vms[vm]!;
         const connections = idle.get(session) ?? [];
         idle.set(session, connections);
-        const connection = token === undefined ? entry.openSession() : connections.pop() ?? entry.openSession();
-        // An empty token stands for a session that has not written yet; a missing one for a token that was lost.
-        const attached = token === "" ? undefined : connection.attach(token === undefined ? { name: session } : { token });
-        if (attached?.err === true) return Err(attached.val);
+        const connection = tokens === undefined ? entry.openSession() : connections.pop() ?? entry.openSession();
+        // A session without tokens has not written yet; one that lost them names itself, and its floor is confirmed.
+        for (const options of tokens?.map(token => ({ token })) ?? [{ name: session }]) {
+            const attached = connection.attach(options);
+            if (attached.err) return Err(attached.val);
+        }
         const result = yield* connection.execute(req);
         connections.push(connection);
         return result;
