--- a/packages/caller/src/callerConnection.ts
+++ b/packages/caller/src/callerConnection.ts
@@ -14,10 +14,10 @@
 import { Diagnostics } from "./diagnostics";
 import { encodeErrorPacket } from "./encodeErrorPacket";
 import { encodeOkPacket } from "./encodeOkPacket";
+import { findErrorNumber } from "./findErrorNumber";
 import { formatCallerError } from "./formatCallerError";
 import { InboundPacket } from "./inboundPacket";
 import { LoginAttempt } from "./loginAttempt";
-import { mysqlErrorNumbers } from "./mysqlErrorNumbers";
 import { protocolConstants } from "./protocolConstants";
 import { ServerConnection } from "./serverConnection";
 import { serverVersion } from "./serverVersion";
@@ -26,6 +26,8 @@
 const maxPendingCommands = 16;
 const readChunkBytes = 65_536;
 const closeGraceMs = 1000;
+/** Idle time after which TCP checks that the caller still exists. */
+const keepAliveMs = 60_000;
 const encodings: ReadonlyMap<string, string> = new Map([
     ["utf8mb4", "utf8"],
     ["utf8mb3", "utf8"],
@@ -95,6 +97,7 @@
     private start(): void {
         const { stream } = this.connection;
         stream.setNoDelay(true);
+        stream.setKeepAlive(true, keepAliveMs);
         stream.on("close", () => this.end());
         this.connection.on("error", err => this.services.logger.debug({ connection: this.id, err: String(err) }, "caller.connection_error"));
         const forward = this.connection.handlePacket;
@@ -229,7 +232,3 @@
         this.onClosed(this);
     }
 }
-
-function findErrorNumber(failure: Failure): number {
-    return mysqlErrorNumbers.byCode.get(failure.code) ?? mysqlErrorNumbers.unknownError;
-}
--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -51,6 +51,9 @@
             if (req.sql === "WAIT") yield* release.wait();
             if (req.sql === "THROW") throw new Error("broken session");
             if (req.sql === "REFUSE") return Err(createFailure(RoutingDiagnostics.noPrimary, RunOutcome.DidNotRun, "stock"));
+            if (req.sql === "REJECT") {
+                return Err({ ...createFailure(RoutingDiagnostics.statementRejected, RunOutcome.DidNotRun, "u1", "duplicate"), details: { errno: 1062 } });
+            }
             if (req.sql === "BEGIN" || req.sql === "COMMIT") session.inTransaction = req.sql === "BEGIN";
             if (req.sql.startsWith("SELECT")) return Ok({ result: createTextResult(["a", "b"], [["é", undefined], ["2", ""]]) });
             return Ok({ result: { ...createTextResult([], []), affectedRows: 3, insertId: 70_000 }, token: "t1" });
@@ -169,6 +172,7 @@
     for (const [sql, message] of refused) await assert.rejects(connection.query(sql), { message });
     await assert.rejects(connection.execute("SELECT ?", [1]), /\[vr-1106\]/);
     assert.deepEqual(requests, []);
+    await assert.rejects(connection.query("REJECT"), { errno: 1062 }, "applications react to the upstream's error number");
     await assert.rejects(connection.query("REFUSE"), /^Error: \[vr-1203\] database group stock has no primary \(did not run\)$/);
 });
 
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -17,10 +17,10 @@
 import { createTextResult } from "./createTextResult";
 import { Diagnostics } from "./diagnostics";
 import { encodeErrorPacket } from "./encodeErrorPacket";
+import { findErrorNumber } from "./findErrorNumber";
 import { formatCallerError } from "./formatCallerError";
 import { Hint } from "./hint";
 import { isRead } from "./isRead";
-import { mysqlErrorNumbers } from "./mysqlErrorNumbers";
 import { parseHintComment } from "./parseHintComment";
 import { protocolConstants } from "./protocolConstants";
 import { ServerConnection } from "./serverConnection";
@@ -179,8 +179,7 @@
 
     private writeFailure(failure: Failure): void {
         this.services.counters.add("vr_caller_failures_total", `code="${failure.code}",outcome="${failure.outcome}"`);
-        const errorNumber = mysqlErrorNumbers.byCode.get(failure.code) ?? mysqlErrorNumbers.unknownError;
-        this.connection.writePacket(encodeErrorPacket(errorNumber, formatCallerError(failure)));
+        this.connection.writePacket(encodeErrorPacket(findErrorNumber(failure), formatCallerError(failure)));
     }
 
     private get statusFlags(): number {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -114,7 +114,7 @@
         const [certificate, privateKey, authority] = [cluster.certificateFile, cluster.privateKeyFile, cluster.authorityFile].map(file =>
             readFileSync(file, "utf8")
         ) as [string, string, string];
-        const incarnation = Math.floor(Date.now() / 1000);
+        const incarnation = Date.now();
         return yield* startVmNode({
             settings: { ...vm, clusterKey: cluster.key, tls: { certificate, privateKey, authority }, incarnation },
             store: this.platform,
--- a/packages/daemon/src/settingsSchema.ts
+++ b/packages/daemon/src/settingsSchema.ts
@@ -36,7 +36,8 @@
         port,
         maxConnections: z.number().int().min(1).max(200_000).default(10_000),
         maxStatementBytes: z.number().int().min(1024).max(16_000_000).default(1_048_576),
-        loginTimeoutMs: timeMs.min(100).default(10_000),
+        /** `mysql2` ends a connection that stays silent for 10 s by itself. */
+        loginTimeoutMs: z.number().int().min(100).max(10_000).default(10_000),
     }),
     administration: z.strictObject({ host: address, port, credential: secret }),
     /** Secrets and certificates that all VMs share. */
