--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -241,6 +241,7 @@
     });
     await new Promise(resolve => setTimeout(resolve, 200));
     leaving.child.kill("SIGTERM");
+    await eventually(async () => assert.equal((await fetch(`${leaving.admin}/health`)).status, 503, "the load balancer is told before callers are"));
     const [code] = await once(leaving.child, "exit");
     await load;
     await new Promise(resolve => setTimeout(resolve, 500));
@@ -279,5 +280,9 @@
     for (const path of ["vm.id", "vm.host", "vm.heartbeatPort", "cluster.key", "cluster.certificateFile", "extra"]) {
         assert.match(String(result.stderr), new RegExp(path.replace(".", "\\.")));
     }
+    const foreign = createTestCertificates();
+    writeFileSync(join(folder, "foreign.pem"), foreign.authority);
+    const cluster = { ...valid["cluster"] as object, authorityFile: join(folder, "foreign.pem") };
+    assert.match(String(check({ ...valid, cluster }).stderr), /cluster\.certificateFile: is not signed by the authority/);
     assert.equal(spawnSync(process.execPath, [daemonFile, "--unknown"]).status, 2);
 });
--- a/packages/daemon/src/settingsSchema.ts
+++ b/packages/daemon/src/settingsSchema.ts
@@ -1,5 +1,6 @@
 import { isIP } from "node:net";
 import { z } from "zod";
+import { checkClusterFiles } from "./checkClusterFiles";
 import { checkPemFile } from "./checkPemFile";
 
 const minSecretLength = 16;
@@ -46,6 +47,8 @@
         certificateFile: pemFile("certificate"),
         privateKeyFile: pemFile("private key"),
         authorityFile: pemFile("certificate"),
+    }).superRefine((files, context) => {
+        for (const [key, message] of Object.entries(checkClusterFiles(files))) context.addIssue({ code: "custom", path: [key], message });
     }),
     platform: z.strictObject({ host: z.string().min(1), port: remotePort, service: name.optional() }),
     /** Account of the proxy at all upstreams. */
