--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -154,6 +154,15 @@
     assert.deepEqual(attached, ["s1/abc", "s1/def"]);
 });
 
+test("a connection that runs statements of other sessions keeps the floors of its own, and no session gets another's token", async () => {
+    const connection = await open();
+    for (const sql of ["INSERT 1", "/*vr session=s2 token=abc */ INSERT 2", "INSERT 3"]) await connection.query(sql);
+    assert.deepEqual(attached.splice(0), ["s2/abc", "(own)/t0"], "the third statement must see the first one's write");
+    const named = await open({ connectAttributes: { vr_session: "s1", vr_token: "first" } });
+    for (const sql of ["INSERT 1", "/*vr session=s2 */ INSERT 2", "INSERT 3"]) await named.query(sql);
+    assert.deepEqual(attached, ["s1/first", "s2/undefined", "s1/t0", "s1/first"]);
+});
+
 test("malformed hints, state on shared connections and unknown commands get numbered errors and reach no session", async () => {
     const connection = await open();
     const refused: readonly (readonly [string, RegExp])[] = [
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -127,25 +127,17 @@
         const parsed = parseHintComment(command.text);
         if (parsed.err) return parsed;
         const { sql } = parsed.val;
-        const local = this.answerLocally(parsed.val.hint, sql);
-        if (local !== undefined) return local;
         const hint = this.state.resolveHint(parsed.val.hint);
         const attached = this.state.attach(hint);
         if (attached.err) return attached;
+        const local = answerLocally(this.state, sql);
+        if (local !== undefined) return local.map((result: StatementResult): StatementAnswer => ({ result }));
         if (this.state.database === "") return Err(createFailure(Diagnostics.noDatabaseSelected, RunOutcome.DidNotRun));
         const req = this.createRequest(hint, sql, command.arrivedAt);
+        this.state.consumeRequestId();
         return yield* this.session.execute(req);
     }
 
-    private answerLocally(statementHint: Hint, sql: string): Result<StatementAnswer, Failure> | undefined {
-        if (statementHint.session !== undefined || statementHint.token !== undefined) {
-            const attached = this.state.attach(statementHint);
-            if (attached.err) return attached;
-        }
-        const answer = answerLocally(this.state, sql);
-        return answer?.map((result: StatementResult): StatementAnswer => ({ result }));
-    }
-
     /** Request ids of callers are unique for a franchisee only; those made here are unique by themselves. */
     private createRequest(hint: Hint, sql: string, arrivedAt: number): StatementRequest {
         const { user, database } = this.state;
--- a/packages/caller/src/connectionState.ts
+++ b/packages/caller/src/connectionState.ts
@@ -9,9 +9,10 @@
 import { CallerVariables } from "./callerVariables";
 import { Diagnostics } from "./diagnostics";
 import { Hint } from "./hint";
+import { mergeHints } from "./mergeHints";
+import { SessionSwitch } from "./sessionSwitch";
 
 const variablePrefix = "vr_";
-const tokenSeparator = ",";
 const attributeKeys = ["class", "franchisee", "session", "token", "deadline"];
 const wordVariables = new Set(["once", "repeatable"]);
 const variableKeys = new Set([...attributeKeys, "req", ...wordVariables]);
@@ -21,8 +22,7 @@
     private attributeHint: Hint = {};
     private variableHint: Hint = {};
     private readonly variables = new Map<string, string>();
-    private attachedName: string | undefined;
-    private attachedToken: string | undefined;
+    private readonly sessions: SessionSwitch;
 
     private constructor(
         public readonly user: string,
@@ -31,7 +31,9 @@
         private readonly session: CallerSession,
         private readonly configuration: ConfigurationSource,
         private readonly selectEncoding: (name: string) => Result<void, Failure>,
-    ) {}
+    ) {
+        this.sessions = SessionSwitch.create(session);
+    }
 
     /** `selectEncoding` changes the character set of the connection. */
     public static create(
@@ -61,7 +63,7 @@
             if (added.err) return added;
             this.attributeHint = added.val;
         }
-        return Ok(undefined);
+        return this.selectHome();
     }
 
     public findUserVariable(name: string): string | undefined {
@@ -78,8 +80,15 @@
             this.replaceVariable(name, previous);
             return hint;
         }
+        const before = this.variableHint;
         this.variableHint = hint.val;
-        return Ok(undefined);
+        const selected = this.selectHome();
+        if (selected.err) {
+            this.replaceVariable(name, previous);
+            this.variableHint = before;
+            this.selectHome();
+        }
+        return selected;
     }
 
     public selectDatabase(name: string): Result<void, Failure> {
@@ -95,34 +104,33 @@
         return this.selectEncoding(name);
     }
 
-    /** Combines what the caller said, most specific first. A request id set as variable counts for one statement only. */
+    /** Combines what the caller said of the statement and of the connection. */
     public resolveHint(statementHint: Hint): Hint {
-        const resolved = { ...this.variableHint, ...this.attributeHint, ...statementHint };
+        return mergeHints(statementHint, mergeHints(this.attributeHint, this.variableHint));
+    }
+
+    /** Forgets a request id that was set as variable; it counts for one statement only. */
+    public consumeRequestId(): void {
         if (this.variables.has("vr_req")) this.setUserVariable("vr_req", undefined);
-        return resolved;
     }
 
-    /**
-     * Makes the session of a statement the current one and takes over the floors of its tokens. Statements that overlap
-     * return tokens that do not know of each other, so a caller passes all of them until one answer covers them.
-     */
+    /** Makes the session of a statement the current one and takes over the floors of its tokens. */
     public attach(hint: Hint): Result<void, Failure> {
-        const isCurrent = (hint.session === undefined || hint.session === this.attachedName)
-            && (hint.token === undefined || hint.token === this.attachedToken);
-        if (isCurrent) return Ok(undefined);
-        for (const token of hint.token?.split(tokenSeparator) ?? [undefined]) {
-            const attached = this.session.attach({ name: hint.session, token });
-            if (attached.err) return attached;
-        }
-        this.attachedName = hint.session ?? this.attachedName;
-        this.attachedToken = hint.token ?? this.attachedToken;
-        return Ok(undefined);
+        return this.sessions.select(hint.session, hint.token);
     }
 
     /** Forgets what was set by statements, as a client asks for when its pool hands the connection on. */
     public reset(): void {
         this.variables.clear();
         this.variableHint = {};
+        this.selectHome();
+    }
+
+    /** Applies the session of the connection, so that a token which is not authentic is refused where it is given. */
+    private selectHome(): Result<void, Failure> {
+        const hint = this.resolveHint({});
+        this.sessions.setHome(hint.session);
+        return this.attach(hint);
     }
 
     private replaceVariable(name: string, value: string | undefined): void {
--- /dev/null
+++ b/packages/caller/src/mergeHints.ts
@@ -0,0 +1,10 @@
+import { Hint } from "./hint";
+
+/**
+ * Combines two hints, the specific one first. A token belongs to the session that is named beside it: one of another
+ * session would pass for a complete record of this session's writes.
+ */
+export function mergeHints(specific: Hint, general: Hint): Hint {
+    const isSameSession = specific.session === undefined || specific.session === general.session;
+    return { ...general, ...specific, token: specific.token ?? (isSameSession ? general.token : undefined) };
+}
