Divide unclaimed slot time by demand and widen the scenarios

Cause: unclaimed slot time was divided in proportion to shares, so classes without a learned share lost against a surging class with one. New scenarios: busy upstreams, ramps, alternating and past surges, quiet starts, slow statements, short targets. Nothing is shed after a surge.

--- a/packages/routing/src/ordinaryShares.ts
+++ b/packages/routing/src/ordinaryShares.ts
@@ -11,6 +11,10 @@
 const learningMs = 10_000;
 /** Interval between updates of shares, in milliseconds. */
 const updateIntervalMs = 1_000;
+/** Multiple of a class's demand that counts when unclaimed slot time is divided, so that random peaks stay within it. */
+const unclaimedHeadroom = 2;
+/** Interval between divisions of unclaimed slot time, in milliseconds. */
+const entitlementIntervalMs = 50;
 /** Growth of a share per millisecond while every class meets its target: doubles in 5 minutes. */
 const ordinaryGrowthPerMs = Math.LN2 / 300_000;
 /** Growth of a share per millisecond during an overload: doubles in 6 hours. */
@@ -26,6 +30,10 @@
 /** Slot time that a class may save up, as time at its rate, in milliseconds. */
 const burstMs = 500;
 
+function sum(values: readonly number[]): number {
+    return values.reduce((total, value) => total + value, 0);
+}
+
 interface ClassShare {
     readonly recent: DecayingRate;
     readonly short: DecayingRate;
@@ -36,17 +44,20 @@
     /** Slot time that the class may use and still be within its share, in milliseconds. */
     credit: number;
     creditAt: number;
+    /** Slots that the class is entitled to during an overload: its share and a part of what no share claims. */
+    entitlement: number;
 }
 
 /**
  * Measures the ordinary slot time of each class on one upstream, and tells which class is within it.
  *
  * A share grows only into slot time that no other share claims, so growth never reduces what another class is entitled
- * to. Unclaimed slot time is divided in proportion to the shares.
+ * to. Unclaimed slot time is divided among the demands above their shares, a small one before a large one.
  */
 export class OrdinaryShares {
     private readonly classes = new Map<string, ClassShare>();
     private updatedAt: number;
+    private entitledAt = -Infinity;
 
     private constructor(private readonly clock: Clock, private readonly slots: number) {
         this.updatedAt = clock.now();
@@ -84,8 +95,8 @@
 
     /** Slots that a class is entitled to during an overload. */
     public readEntitlement(className: string): number {
-        const entry = this.classes.get(className);
-        return entry === undefined ? 0 : this.entitle(entry);
+        this.refreshEntitlements();
+        return this.classes.get(className)?.entitlement ?? 0;
     }
 
     /** Part of the slot time that a class may save up and has left: above 0 within its share, below 0 in excess of it. */
@@ -130,8 +141,10 @@
         const now = this.clock.now();
         const recent = DecayingRate.create(longTimeConstantMs, now);
         const short = DecayingRate.create(shortTimeConstantMs, now);
-        entry = { recent, short, startedAt: now, isLearned: false, share: 0, credit: 0, creditAt: now };
+        entry = { recent, short, startedAt: now, isLearned: false, share: 0, credit: 0, creditAt: now, entitlement: 0 };
         this.classes.set(className, entry);
+        this.entitledAt = -Infinity;
+        this.refreshEntitlements();
         entry.credit = this.measureBurst(entry);
         return entry;
     }
@@ -164,20 +177,26 @@
         return Math.max(0, this.claimable - claimed);
     }
 
-    private entitle(entry: ClassShare): number {
-        const smallest = this.slots * smallestFraction;
-        let total = 0;
-        for (const other of this.classes.values()) total += Math.max(other.share, smallest);
-        return Math.max(entry.share, smallest) * Math.max(1, this.claimable / total);
+    private refreshEntitlements(): void {
+        const now = this.clock.now();
+        if (now - this.entitledAt < entitlementIntervalMs) return;
+        this.entitledAt = now;
+        const entries = [...this.classes.values()];
+        const bases = entries.map(entry => Math.max(entry.share, this.slots * smallestFraction));
+        const unclaimed = Math.max(0, this.claimable - sum(bases));
+        const parts = divideFairly(entries.map((entry, index) => Math.max(0, entry.short.read(now) * unclaimedHeadroom - bases[index]!)), unclaimed);
+        const rest = (unclaimed - sum(parts)) / entries.length;
+        entries.forEach((entry, index) => entry.entitlement = bases[index]! + parts[index]! + rest);
     }
 
     private measureBurst(entry: ClassShare): number {
-        return this.entitle(entry) * burstMs;
+        return entry.entitlement * burstMs;
     }
 
     private accrue(entry: ClassShare): void {
         const now = this.clock.now();
-        const credit = entry.credit + this.entitle(entry) * (now - entry.creditAt);
+        this.refreshEntitlements();
+        const credit = entry.credit + entry.entitlement * (now - entry.creditAt);
         entry.creditAt = now;
         entry.credit = Math.min(credit, this.measureBurst(entry));
     }
--- a/packages/routing/src/overload.test.ts
+++ b/packages/routing/src/overload.test.ts
@@ -50,6 +50,8 @@
     ["meethi restocks x3", "restocks"],
     ["meethi restocks x10", "restocks"],
     ["meethi restocks x10 from the start", "restocks"],
+    ["racja orders ramp x10", "orders"],
+    ["meethi restocks alternate x3", "restocks"],
 ];
 
 for (const [scenario, surging] of surges) {
@@ -75,7 +77,7 @@
     }
 });
 
-for (const scenario of ["racja ordinary", "meethi ordinary", "meethi restock bursts"]) {
+for (const scenario of ["racja ordinary", "meethi ordinary", "meethi restock bursts", "racja after orders x10", "meethi after restocks x10"]) {
     test(`overload: ${scenario}: nothing is shed without an overload`, () => {
         for (const seed of seeds) {
             for (const [name, entry] of runOurs(scenario, seed)) assert.equal(entry.refused, 0, `seed ${seed}: ${name}`);
--- a/packages/routing/src/overloadScenarios.ts
+++ b/packages/routing/src/overloadScenarios.ts
@@ -32,6 +32,35 @@
     return classes.map(one => one.name === name ? { ...one, ...change } : one);
 }
 
+/** Lets one class rise to a multiple of the upstream's capacity within 30 s. */
+function ramp(classes: readonly ExperimentClass[], name: string, capacities: number): readonly ExperimentClass[] {
+    const demandAt = (timeMs: number, ordinary: number): number => Math.max(ordinary, Math.min(capacities, capacities * (timeMs - surgeAtMs + 5_000) / 30_000));
+    return classes.map(one => one.name === name ? { ...one, demandAt: timeMs => demandAt(timeMs, one.ordinary) } : one);
+}
+
+/** Lets one class alternate between its ordinary demand and a multiple of the upstream's capacity. */
+function alternate(classes: readonly ExperimentClass[], name: string, capacities: number): readonly ExperimentClass[] {
+    return classes.map(one =>
+        one.name === name ? { ...one, demandAt: timeMs => timeMs < surgeAtMs || timeMs % 3_000 < 1_500 ? one.ordinary : capacities } : one
+    );
+}
+
+/** Lets one class surge until just before the time that is measured. */
+function surgeBefore(classes: readonly ExperimentClass[], name: string, capacities: number): readonly ExperimentClass[] {
+    const isOn = (timeMs: number): boolean => timeMs > surgeAtMs - 5_000 && timeMs < surgeAtMs - 2_000;
+    return classes.map(one => one.name === name ? { ...one, demandAt: timeMs => isOn(timeMs) ? capacities : one.ordinary } : one);
+}
+
+/** Scales the ordinary demand of all classes. */
+function scale(classes: readonly ExperimentClass[], factor: number): readonly ExperimentClass[] {
+    return classes.map(one => ({ ...one, ordinary: one.ordinary * factor }));
+}
+
+/** Lets all classes start with a hundredth of their ordinary demand, as a cluster that is installed at night. */
+function quietStart(classes: readonly ExperimentClass[]): readonly ExperimentClass[] {
+    return classes.map(one => ({ ...one, demandAt: timeMs => (timeMs < surgeAtMs - 2_000 ? 0.01 : 1) * (one.demandAt?.(timeMs) ?? one.ordinary) }));
+}
+
 const fromStart = (capacities: number): Partial<ExperimentClass> => ({ demandAt: () => capacities });
 
 /** The loads on one upstream that schedulers are measured with, by name: slots and classes. */
@@ -46,6 +75,19 @@
     "racja orders x10 from the start": { slots: 5, classes: replace(racja, "orders", fromStart(10)) },
     "racja long catalogue x3": { slots: 5, classes: lengthen(surge(racja, "catalogue", 3), "catalogue", 0.05, 40) },
     "racja one franchisee floods": { slots: 5, classes: replace(surge(racja, "catalogue", 3), "catalogue", { floodFactor: 1_000 }) },
+    "racja busy and catalogue x10": { slots: 5, classes: surge(scale(racja, 1.3), "catalogue", 10) },
+    "racja busy and orders x10": { slots: 5, classes: surge(scale(racja, 1.3), "orders", 10) },
+    "racja orders ramp x10": { slots: 5, classes: ramp(racja, "orders", 10) },
+    "racja orders alternate x10": { slots: 5, classes: alternate(racja, "orders", 10) },
+    "racja after orders x10": { slots: 5, classes: surgeBefore(racja, "orders", 10) },
+    "racja quiet start and orders x10": { slots: 5, classes: surge(quietStart(racja), "orders", 10) },
+    "racja slow catalogue x10": { slots: 5, classes: replace(surge(racja, "catalogue", 10), "catalogue", { meanServiceMs: 40 }) },
+    "meethi busy and restocks x10": { slots: 2, classes: surge(scale(meethi, 1.3), "restocks", 10) },
+    "meethi restocks alternate x3": { slots: 2, classes: alternate(meethi, "restocks", 3) },
+    "meethi after restocks x10": { slots: 2, classes: surgeBefore(meethi, "restocks", 10) },
+    "meethi quiet start and restocks x10": { slots: 2, classes: surge(quietStart(meethi), "restocks", 10) },
+    "meethi slow counts x10": { slots: 2, classes: replace(surge(meethi, "counts", 10), "counts", { meanServiceMs: 40 }) },
+    "meethi short target and counts x10": { slots: 2, classes: replace(surge(meethi, "counts", 10), "deductions", { targetMs: 40 }) },
     "meethi ordinary": { slots: 2, classes: meethi },
     "meethi counts x3": { slots: 2, classes: surge(meethi, "counts", 3) },
     "meethi counts x10": { slots: 2, classes: surge(meethi, "counts", 10) },
