Keep the slot of a statement whose caller gave up, and check idle connections

The upstream goes on executing a statement whose caller is gone; freeing its slot at once sent it more statements than it has slots. The statement now goes on to its end in its slot and its connection stays usable.

--- a/packages/routing/src/connectionPool.ts
+++ b/packages/routing/src/connectionPool.ts
@@ -52,8 +52,17 @@
         return this.idle.length + this.busy.size;
     }
 
-    public get idleConnections(): readonly PooledConnection[] {
-        return this.idle;
+    /** Takes out the connection that has been idle longest, if that is at least `idleMs` milliseconds. */
+    public takeIdleFor(idleMs: number): PooledConnection | undefined {
+        const limit = this.clock.now() - idleMs;
+        const pooled = this.idle.reduce<PooledConnection | undefined>(
+            (oldest, one) => one.lastUsedAt < (oldest?.lastUsedAt ?? limit) ? one : oldest,
+            undefined,
+        );
+        if (pooled === undefined) return undefined;
+        this.idle.splice(this.idle.indexOf(pooled), 1);
+        this.busy.add(pooled);
+        return pooled;
     }
 
     /** Opens connections as they are needed, one after another, until the pool is closed. */
@@ -122,15 +131,13 @@
      * that lost one connection has probably lost the others too; new ones replace them.
      */
     public adoptAfterFault(connection: UpstreamConnection): void {
-        for (const pooled of [...this.idle]) this.discardIdle(pooled);
+        this.discardIdle();
         this.adopt(connection);
     }
 
-    public discardIdle(pooled: PooledConnection): void {
-        const index = this.idle.indexOf(pooled);
-        if (index < 0) return;
-        this.idle.splice(index, 1);
-        this.discard(pooled);
+    /** Closes all idle connections; new ones are opened one after another. */
+    public discardIdle(): void {
+        for (const pooled of this.idle.splice(0)) this.discard(pooled);
     }
 
     /** Takes one idle connection out, for a check. */
--- a/packages/routing/src/connections.test.ts
+++ b/packages/routing/src/connections.test.ts
@@ -141,3 +141,24 @@
         assert.ok(bed.group.get("b").openConnections <= 22, `${bed.group.get("b").openConnections} connections`);
     }
 });
+
+test("silent connections: those that became silent while idle are replaced before a statement needs them", () => {
+    const bed = FakeOwnerBed.create();
+    for (const connection of bed.group.connections) connection.isSilent = true;
+    bed.clock.advance(10_000);
+    const reads: Read[] = [];
+    startRead(bed, req => bed.get("b").execute(req), "select 1", reads);
+    bed.clock.advance(20);
+    assert.equal(reads[0]?.value, "select 1");
+});
+
+test("a caller that gives up leaves its statement its slot, so the upstream never gets more statements than it has slots", () => {
+    const bed = FakeOwnerBed.create(2, [], { measureStatement: () => 50 });
+    const upstream = bed.group.get("b");
+    for (let index = 0; index < 40; index++) {
+        const task = Task.start(bed.get("b").execute(createRead(`select ${index}`)));
+        bed.clock.advance(10);
+        task.cancel();
+        assert.equal(upstream.waitingCount, 0, "nothing waits at the upstream");
+    }
+});
--- a/packages/routing/src/fakeUpstream.ts
+++ b/packages/routing/src/fakeUpstream.ts
@@ -47,6 +47,11 @@
         return new FakeUpstream(settings, clock);
     }
 
+    /** Statements that wait at the upstream because it executes as many as it can. */
+    public get waitingCount(): number {
+        return this.waiting.length;
+    }
+
     public get received(): LogPosition {
         return this.log.at(-1)?.at ?? emptyPosition;
     }
--- a/packages/routing/src/slotScheduler.ts
+++ b/packages/routing/src/slotScheduler.ts
@@ -4,6 +4,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Rank } from "@vanillarouter/base/rank";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Task } from "@vanillarouter/base/task";
 import { Err, Ok, Result } from "ts-results";
 import { ClassQueue } from "./classQueue";
 import { Diagnostics } from "./diagnostics";
@@ -85,15 +86,32 @@
         return work / this.slots;
     }
 
-    /** Runs `work` in a slot, or returns why the statement did not run. The slot is free again when `work` ends. */
+    /**
+     * Runs `work` in a slot, or returns why the statement did not run. The slot is free again when `work` ends.
+     *
+     * A caller that is cancelled while it waits gives up its place. Once `work` has begun it goes on to its end, as the
+     * upstream goes on too: freeing the slot earlier would send more statements than the upstream executes at a time.
+     */
     public *run<T>(req: SlotRequest, work: () => Operation<T>): Operation<Result<T, Failure>> {
         const ticket = this.enqueue(req);
+        let hasBegun = false;
         try {
             yield* ticket.wait();
             if (ticket.refusal !== undefined) return ticket.refusal;
+            const task = Task.start(this.occupy(ticket, work));
+            hasBegun = true;
+            return Ok(yield* task.join());
+        }
+        finally {
+            if (!hasBegun) this.release(ticket);
+        }
+    }
+
+    private *occupy<T>(ticket: SlotTicket, work: () => Operation<T>): Operation<T> {
+        try {
             const value = yield* work();
             this.recordServiceTime(ticket);
-            return Ok(value);
+            return value;
         }
         finally {
             this.release(ticket);
--- a/packages/routing/src/upstreamOwner.ts
+++ b/packages/routing/src/upstreamOwner.ts
@@ -13,6 +13,7 @@
 import { Diagnostics } from "./diagnostics";
 import { FreshnessProver } from "./freshnessProver";
 import { GroupPeer } from "./groupPeer";
+import { IdleCheck } from "./idleCheck";
 import { OutcomeRequest } from "./outcomeRequest";
 import { OutcomeResolver } from "./outcomeResolver";
 import { OwnerAnswer } from "./ownerAnswer";
@@ -99,6 +100,7 @@
     public *run(): Operation<void> {
         try {
             this.tasks.start(this.pool.run());
+            this.tasks.start(IdleCheck.create(this.context.clock, this.pool).run());
             this.tasks.start(this.context.watch.run());
             this.tasks.start(this.prover.run());
             this.context.confirmation.start(this.tasks);
