Start lock holders beyond the slots, follow configuration changes

Statements in all slots may wait for the locks of a transaction whose next statement waits for a slot; after 50 ms that one starts beyond the slots. A change of a group's settings replaces its owners. Of two measurements of shares the newer counts.

--- a/packages/routing/src/fakeOwnerBed.ts
+++ b/packages/routing/src/fakeOwnerBed.ts
@@ -19,7 +19,7 @@
     public readonly group: FakeGroup;
     /** Upstreams without an owner, as after the loss of a VM. */
     public readonly unowned = new Set<string>();
-    public readonly configuration: ConfigurationSource;
+    public readonly configuration: ConfigurationSource & { current: Configuration | undefined };
     private readonly owners = new Map<string, UpstreamOwner>();
 
     private constructor(slots: number, classes: readonly WorkClass[], options: Partial<FakeGroupOptions>) {
@@ -47,6 +47,14 @@
         return bed;
     }
 
+    /** Changes the number of slots of all upstreams in the configuration. */
+    public setSlots(slots: number): void {
+        const current = this.configuration.current!;
+        const upstreams = this.group.group.upstreams.map(upstream => ({ ...upstream, slots }));
+        this.configuration.current = { ...current, version: current.version + 1, groups: new Map([["stock", { name: "stock", upstreams }]]) };
+        this.configuration.changed.notifyAll(this.configuration.current);
+    }
+
     public get(upstream: string): UpstreamOwner {
         return this.owners.get(upstream)!;
     }
--- a/packages/routing/src/ownerHost.test.ts
+++ b/packages/routing/src/ownerHost.test.ts
@@ -68,6 +68,21 @@
     assert.equal(bed.group.finalLog.filter(entry => entry.requestId === "w2").length, 0);
 });
 
+test("a change of the configuration replaces the owner, and the next owner keeps the measured shares", () => {
+    const bed = FakeOwnerBed.create();
+    const host = createHost(bed);
+    host.learnRates([{ upstream: "a", slotTimeByClass: { orders: 400 }, ageMs: 1_000 }]);
+    host.learnRates([{ upstream: "a", slotTimeByClass: { orders: 900 }, ageMs: 60_000 }]);
+    host.setOwned(["a"]);
+    assert.deepEqual(host.exportRates(), [{ upstream: "a", slotTimeByClass: { orders: 400 }, ageMs: 0 }], "the newer measurement counts");
+    bed.clock.advance(200);
+    const before = bed.group.get("a").openConnections;
+    bed.setSlots(4);
+    bed.clock.advance(1_000);
+    assert.deepEqual(host.exportRates(), [{ upstream: "a", slotTimeByClass: { orders: 400 }, ageMs: 0 }]);
+    assert.equal(bed.group.get("a").openConnections, before + 2, "two more slots have two more connections");
+});
+
 test("P7: an upstream that says it is leaving gets no new work after 3 s, a primary's writes until then; the naive owner goes on", () => {
     for (const upstream of ["a", "b"]) {
         const bed = FakeOwnerBed.create();
--- a/packages/routing/src/ownerHost.ts
+++ b/packages/routing/src/ownerHost.ts
@@ -24,8 +24,11 @@
     private readonly owners = new Map<string, UpstreamOwner>();
     /** Owners that finish their work in flight after the role has moved away. */
     private readonly leaving = new Set<UpstreamOwner>();
-    private readonly rates = new Map<string, SharedRates>();
+    /** Newest shares known of each upstream, with the time on this VM's clock at which they were measured. */
+    private readonly rates = new Map<string, { readonly rates: SharedRates; readonly measuredAt: number }>();
     private readonly tasks: TaskGroup;
+    private wanted: ReadonlySet<string> = new Set();
+    private isWatching = false;
 
     private constructor(private readonly settings: OwnerHostSettings) {
         this.tasks = TaskGroup.create(err => settings.logger?.error({ err }, "owner failed"));
@@ -42,26 +45,23 @@
 
     /** Sets which upstreams this VM owns, by id. Returns at once; owners that lost their role drain in the background. */
     public setOwned(upstreams: readonly string[]): void {
-        const wanted = new Set(upstreams);
-        for (const [id, owner] of this.owners) {
-            if (!wanted.has(id)) this.drainOwner(id, owner);
-        }
-        for (const id of wanted) {
-            if (!this.owners.has(id)) this.startOwner(id);
-        }
+        this.wanted = new Set(upstreams);
+        this.applyOwned();
+        if (this.isWatching) return;
+        this.isWatching = true;
+        this.tasks.start(this.watchConfiguration());
     }
 
     /** Takes over ordinary shares that other VMs measured, for owners here and for those that start later. */
     public learnRates(rates: readonly SharedRates[]): void {
         for (const entry of rates) {
-            this.rates.set(entry.upstream, entry);
-            this.owners.get(entry.upstream)?.adoptRates(entry);
+            if (this.storeRates(entry)) this.owners.get(entry.upstream)?.adoptRates(entry);
         }
     }
 
     /** Ordinary shares as measured by the owners here. */
     public exportRates(): readonly SharedRates[] {
-        return [...this.owners.values()].map(owner => owner.exportRates());
+        return [...this.owners.values()].map(owner => owner.exportRates()).filter(rates => Object.keys(rates.slotTimeByClass).length > 0);
     }
 
     /** Rolls back the open transactions of an entry VM that is gone. */
@@ -122,15 +122,45 @@
         const group = this.findGroup(id);
         const upstream = group?.upstreams.find(other => other.id === id);
         if (group === undefined || upstream === undefined) return;
-        const owner = UpstreamOwner.create({ ...this.settings, group, upstream, sharedRates: this.rates.get(id) });
+        const owner = UpstreamOwner.create({ ...this.settings, group, upstream, sharedRates: this.rates.get(id)?.rates });
         this.owners.set(id, owner);
         this.tasks.start(owner.run());
         this.settings.logger?.info({ upstream: id, group: group.name }, "owner started");
     }
 
+    private applyOwned(): void {
+        for (const [id, owner] of this.owners) {
+            if (!this.wanted.has(id) || !this.isCurrent(id, owner)) this.drainOwner(id, owner);
+        }
+        for (const id of this.wanted) {
+            if (!this.owners.has(id)) this.startOwner(id);
+        }
+    }
+
+    /** An owner works with the settings it started with, so a change of its group replaces it. */
+    private isCurrent(id: string, owner: UpstreamOwner): boolean {
+        const group = this.findGroup(id);
+        return group !== undefined && JSON.stringify(group.upstreams) === JSON.stringify(owner.group.upstreams);
+    }
+
+    private *watchConfiguration(): Operation<void> {
+        for (;;) {
+            yield* this.settings.configuration.changed.wait();
+            this.applyOwned();
+        }
+    }
+
+    private storeRates(rates: SharedRates): boolean {
+        const measuredAt = this.settings.clock.now() - rates.ageMs;
+        const known = this.rates.get(rates.upstream);
+        if (known !== undefined && known.measuredAt > measuredAt) return false;
+        this.rates.set(rates.upstream, { rates, measuredAt });
+        return true;
+    }
+
     private drainOwner(id: string, owner: UpstreamOwner): void {
         this.owners.delete(id);
-        this.rates.set(id, owner.exportRates());
+        this.storeRates(owner.exportRates());
         this.leaving.add(owner);
         this.tasks.start(this.finishOwner(id, owner));
     }
--- a/packages/routing/src/progressTimeout.ts
+++ b/packages/routing/src/progressTimeout.ts
@@ -4,8 +4,6 @@
 const highestLatencyUs = 60_000_000;
 /** Timeout while too little has been observed, in milliseconds. */
 const initialTimeoutMs = 1_000;
-/** Observations below which the initial timeout holds. */
-const minObservations = 50;
 /** Bounds of the timeout, in milliseconds. */
 const shortestTimeoutMs = 25;
 const longestTimeoutMs = 10_000;
@@ -14,7 +12,12 @@
 /** Observations after which older ones count half, so that the timeout follows the upstream. */
 const halvingCount = 20_000;
 
+/** Observations between two derivations of the timeout, which reads a whole histogram. */
+const derivationInterval = 64;
+
 interface ClassHistogram {
+    /** Timeout last derived, in milliseconds. */
+    timeoutMs: number;
     current: Histogram;
     previous: Histogram | undefined;
 }
@@ -32,6 +35,7 @@
     public record(className: string, latencyMs: number): void {
         const entry = this.obtain(className);
         entry.current.recordValue(Math.min(Math.max(1, Math.round(latencyMs * 1000)), highestLatencyUs));
+        if (entry.current.totalCount % derivationInterval === 0) entry.timeoutMs = deriveTimeout(entry);
         if (entry.current.totalCount < halvingCount) return;
         entry.previous = entry.current;
         entry.current = createHistogram();
@@ -39,17 +43,13 @@
 
     /** Timeout of a statement of a class, in milliseconds. */
     public derive(className: string): number {
-        const entry = this.classes.get(className);
-        const count = (entry?.current.totalCount ?? 0) + (entry?.previous?.totalCount ?? 0);
-        if (entry === undefined || count < minObservations) return initialTimeoutMs;
-        const percentile = Math.max(readPercentile(entry.current), readPercentile(entry.previous));
-        return Math.min(Math.max(percentile * percentileFactor, shortestTimeoutMs), longestTimeoutMs);
+        return this.classes.get(className)?.timeoutMs ?? initialTimeoutMs;
     }
 
     private obtain(className: string): ClassHistogram {
         let entry = this.classes.get(className);
         if (entry === undefined) {
-            entry = { current: createHistogram(), previous: undefined };
+            entry = { timeoutMs: initialTimeoutMs, current: createHistogram(), previous: undefined };
             this.classes.set(className, entry);
         }
         return entry;
@@ -60,6 +60,11 @@
     return build({ bitBucketSize: 32, lowestDiscernibleValue: 1, highestTrackableValue: highestLatencyUs, numberOfSignificantValueDigits: 2 });
 }
 
+function deriveTimeout(entry: ClassHistogram): number {
+    const percentile = Math.max(readPercentile(entry.current), readPercentile(entry.previous));
+    return Math.min(Math.max(percentile * percentileFactor, shortestTimeoutMs), longestTimeoutMs);
+}
+
 function readPercentile(histogram: Histogram | undefined): number {
     return histogram === undefined || histogram.totalCount === 0 ? 0 : histogram.getValueAtPercentile(99.9) / 1000;
 }
--- a/packages/routing/src/replicaConfirmation.ts
+++ b/packages/routing/src/replicaConfirmation.ts
@@ -8,8 +8,8 @@
 import { GroupPeer } from "./groupPeer";
 import { UpstreamStatus } from "./upstreamStatus";
 
-/** Time that one question to a replica may take, in milliseconds. */
-const questionTimeoutMs = 1_000;
+/** Time that one question to a replica may take, in milliseconds. A question that gets no answer holds up later ones. */
+const questionTimeoutMs = 250;
 /** Delays between failed questions, in milliseconds. */
 const firstRetryDelayMs = 5;
 const lastRetryDelayMs = 200;
--- a/packages/routing/src/slotScheduler.test.ts
+++ b/packages/routing/src/slotScheduler.test.ts
@@ -2,6 +2,7 @@
 import { ManualClock } from "@vanillarouter/base/manualClock";
 import { Rank } from "@vanillarouter/base/rank";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
 import * as fc from "fast-check";
@@ -134,6 +135,19 @@
     );
 });
 
+test("a statement that holds locks starts although all slots wait for its locks", () => {
+    const clock = ManualClock.create();
+    const scheduler = SlotScheduler.create(clock, 2);
+    const unlocked = Signal.create<void>();
+    const common = { className: "orders", rank: Rank.Urgent, franchisee: "f1", arrivedAt: 0, deadline: 1_000, afterSlotMs: 0 };
+    const blocked = [1, 2].map(() => Task.start(scheduler.run({ ...common, continuesWork: false }, () => unlocked.wait())));
+    const holder = Task.start(scheduler.run({ ...common, continuesWork: true }, function*() {
+        unlocked.notifyAll();
+    }));
+    clock.advance(100);
+    assert.ok([...blocked, holder].every(task => task.isSettled));
+});
+
 test("queues are bounded, and the least entitled work is shed first", () => {
     const bench = createBench(ours(2));
     for (let index = 0; index < 3_000; index++) bench.submit({ name: `catalogue ${index}`, rank: Rank.Background, timeoutMs: 1e9 });
--- a/packages/routing/src/slotScheduler.ts
+++ b/packages/routing/src/slotScheduler.ts
@@ -21,6 +21,13 @@
 /** Waiting statements of one upstream. Bounds memory; at a few milliseconds each it is more than any target can wait for. */
 const maxWaiting = 1_024;
 
+/**
+ * Time after which a statement that holds locks starts without a free slot, in milliseconds. The statements in the slots
+ * may be waiting for its locks, and then no slot becomes free before it has run.
+ */
+const lockHolderPatienceMs = 50;
+/** Statements that may run beyond the slots for that reason. */
+const maxLockHoldersBeyondSlots = 1;
 /** Refusals kept for reuse. */
 const maxRefusals = 1_000;
 
@@ -130,6 +137,7 @@
         this.dispatch();
         if (ticket.state !== SlotTicketState.Waiting) return ticket;
         ticket.cancelTimer = this.clock.startTimer(ticket.latestStart - this.clock.now(), () => this.giveUp(ticket));
+        if (req.continuesWork) this.clock.startTimer(lockHolderPatienceMs, () => this.startLockHolder(ticket));
         if (this.waiting > maxWaiting) this.shedOne();
         return ticket;
     }
@@ -236,6 +244,12 @@
         }
     }
 
+    private startLockHolder(ticket: SlotTicket): void {
+        if (ticket.state !== SlotTicketState.Waiting) return;
+        if (this.running.size < this.slots + maxLockHoldersBeyondSlots) this.start(ticket);
+        else this.clock.startTimer(lockHolderPatienceMs, () => this.startLockHolder(ticket));
+    }
+
     private pickNext(): SlotTicket | undefined {
         let best: SlotTicket | undefined;
         let bestState: ClassState | undefined;
--- a/packages/routing/src/upstreamOwner.ts
+++ b/packages/routing/src/upstreamOwner.ts
@@ -1,4 +1,5 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
@@ -96,6 +97,10 @@
         return this.settings.upstream.id;
     }
 
+    public get group(): DatabaseGroup {
+        return this.settings.group;
+    }
+
     /** The background work of the role. Ends when `drain` is done. */
     public *run(): Operation<void> {
         try {
