--- /dev/null
+++ b/packages/routing/src/classPriority.ts
@@ -0,0 +1,52 @@
+import { Rank } from "@vanillarouter/base/rank";
+import { OrdinaryShares } from "./ordinaryShares";
+import { OverloadMonitor } from "./overloadMonitor";
+import { ScheduledClass } from "./scheduledClass";
+import { SlotTicket } from "./slotTicket";
+
+const rankOrder: Readonly<Record<Rank, number>> = { [Rank.Urgent]: 0, [Rank.Standard]: 1, [Rank.Background]: 2 };
+
+/**
+ * The order of classes. Without an overload it is the order of ranks. During an overload, classes within their ordinary
+ * share go before the work of classes in excess of it. Urgent work counts as within its share as long as urgent demand as
+ * a whole fits the upstream, because urgent targets must then hold whatever else arrives.
+ */
+export class ClassPriority {
+    private constructor(private readonly shares: OrdinaryShares, private readonly overload: OverloadMonitor) {}
+
+    public static create(shares: OrdinaryShares, overload: OverloadMonitor): ClassPriority {
+        return new ClassPriority(shares, overload);
+    }
+
+    /** 0: by rank alone or within the ordinary share; 1: in excess of the share during an overload. */
+    public readLevel(one: ScheduledClass): number {
+        return this.isLimited(one) && this.shares.readCredit(one.name) <= 0 ? 1 : 0;
+    }
+
+    /** Credit that orders classes of one rank during an overload: a surging class has less left than an ordinary one. */
+    public readCredit(one: ScheduledClass): number {
+        return this.isLimited(one) ? this.shares.readCredit(one.name) : 0;
+    }
+
+    /** Negative if the first class goes before the second, 0 if neither does. */
+    public compare(first: ScheduledClass, second: ScheduledClass): number {
+        return this.readLevel(first) - this.readLevel(second) || this.compareRanks(first, second);
+    }
+
+    public compareRanks(first: ScheduledClass, second: ScheduledClass): number {
+        return rankOrder[first.rank] - rankOrder[second.rank];
+    }
+
+    public goesBefore(first: SlotTicket, firstClass: ScheduledClass, second: SlotTicket, secondClass: ScheduledClass): boolean {
+        const byClass = this.compare(firstClass, secondClass);
+        if (byClass !== 0) return byClass < 0;
+        if (first.req.continuesWork !== second.req.continuesWork) return first.req.continuesWork;
+        const byCredit = this.readCredit(firstClass) - this.readCredit(secondClass);
+        return byCredit !== 0 ? byCredit > 0 : first.req.deadline < second.req.deadline;
+    }
+
+    /** Whether ordinary shares decide about a class now. */
+    private isLimited(one: ScheduledClass): boolean {
+        return this.overload.isOverloaded && (one.rank !== Rank.Urgent || this.overload.isUrgentOverloaded);
+    }
+}
--- a/packages/routing/src/fakeOwnerBed.ts
+++ b/packages/routing/src/fakeOwnerBed.ts
@@ -19,7 +19,7 @@
     public readonly group: FakeGroup;
     /** Upstreams without an owner, as after the loss of a VM. */
     public readonly unowned = new Set<string>();
-    public readonly configuration: ConfigurationSource & { current: Configuration | undefined };
+    public readonly configuration: ConfigurationSource & { current: Configuration | undefined; };
     private readonly owners = new Map<string, UpstreamOwner>();
 
     private constructor(slots: number, classes: readonly WorkClass[], options: Partial<FakeGroupOptions>) {
--- a/packages/routing/src/ownerHost.ts
+++ b/packages/routing/src/ownerHost.ts
@@ -25,7 +25,7 @@
     /** Owners that finish their work in flight after the role has moved away. */
     private readonly leaving = new Set<UpstreamOwner>();
     /** Newest shares known of each upstream, with the time on this VM's clock at which they were measured. */
-    private readonly rates = new Map<string, { readonly rates: SharedRates; readonly measuredAt: number }>();
+    private readonly rates = new Map<string, { readonly rates: SharedRates; readonly measuredAt: number; }>();
     private readonly tasks: TaskGroup;
     private wanted: ReadonlySet<string> = new Set();
     private isWatching = false;
--- /dev/null
+++ b/packages/routing/src/refusalCache.ts
@@ -0,0 +1,41 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { Failure } from "@vanillarouter/base/failure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Err } from "ts-results";
+import { Diagnostics } from "./diagnostics";
+import { SlotTicket } from "./slotTicket";
+
+/** Refusals kept for reuse. */
+const maxRefusals = 1_000;
+
+/**
+ * The answers to statements that get no slot. One is kept for each class and reason, because making an `Err` takes a stack
+ * trace and an overload refuses thousands a second.
+ */
+export class RefusalCache {
+    private readonly refusals = new Map<string, Err<Failure>>();
+
+    private constructor() {}
+
+    public static create(): RefusalCache {
+        return new RefusalCache();
+    }
+
+    /** `level` is that of the ticket's class: 1 in excess of its ordinary share. */
+    public find(ticket: SlotTicket, level: number): Err<Failure> {
+        const { className, deadline, arrivedAt } = ticket.req;
+        if (level > 0) return this.obtain(`share ${className}`, () => createFailure(Diagnostics.shareExceeded, RunOutcome.DidNotRun, className));
+        const target = Math.round(deadline - arrivedAt);
+        return this.obtain(`target ${target}`, () => createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, target));
+    }
+
+    private obtain(key: string, create: () => Failure): Err<Failure> {
+        let refusal = this.refusals.get(key);
+        if (refusal === undefined) {
+            refusal = Err(create());
+            if (this.refusals.size >= maxRefusals) this.refusals.clear();
+            this.refusals.set(key, refusal);
+        }
+        return refusal;
+    }
+}
