Add vr-load: callers with sessions, request ids and transactions

Each caller checks its answers: rows of its own franchisee, its own last order and its own deductions. After a lost connection it goes on at another VM with its token and the same request id.

--- /dev/null
+++ b/packages/bench/src/load/loadRunner.ts
@@ -0,0 +1,98 @@
+import { all } from "@vanillarouter/base/all";
+import { Channel } from "@vanillarouter/base/channel";
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { ClassLoad } from "../measure/classLoad";
+import { FranchiseeWork } from "./franchiseeWork";
+import { LoadCaller } from "./loadCaller";
+import { LoadOptions } from "./loadOptions";
+import { LoadRecord } from "./loadRecord";
+
+interface Arrival {
+    readonly load: ClassLoad;
+    readonly at: number;
+}
+
+/** Sends a load and keeps a record of every request. */
+export class LoadRunner {
+    private readonly kept: LoadRecord[] = [];
+    private readonly arrivals = Channel.create<Arrival | undefined>();
+    private readonly random: SeededRandom;
+    private nextRef = 0;
+    private stopAt = 0;
+
+    private constructor(private readonly clock: Clock, private readonly options: LoadOptions) {
+        this.random = SeededRandom.create(options.seed);
+    }
+
+    public static create(clock: Clock, options: LoadOptions): LoadRunner {
+        return new LoadRunner(clock, options);
+    }
+
+    /** Requests that have ended so far. */
+    public get records(): readonly LoadRecord[] {
+        return this.kept;
+    }
+
+    /** Ends the load early; requests in flight still end. */
+    public stop(): void {
+        this.stopAt = Math.min(this.stopAt, this.clock.now());
+    }
+
+    /** Opens the connections, sends the load, and returns when every request has ended. Without a connection it sends nothing. */
+    public *run(): Operation<readonly LoadRecord[]> {
+        const callers = Array.from({ length: this.options.connections }, (_value, index) => this.createCaller(index));
+        const connected = yield* all(callers.map(caller => caller.connect()));
+        if (!connected.includes(true)) return [];
+        this.stopAt = this.clock.now() + this.options.durationMs;
+        const work = callers.map((caller, index) => Task.start(this.work(caller, index)));
+        if (this.options.requestsPerSecond > 0) yield* this.produceArrivals();
+        for (const task of work) yield* task.join();
+        for (const caller of callers) caller.close();
+        return this.kept;
+    }
+
+    private createCaller(index: number): LoadCaller {
+        const { target, groups, runId } = this.options;
+        return LoadCaller.create(this.clock, target, groups[index % groups.length]!, `${runId}f${index}`, Math.floor(index / groups.length));
+    }
+
+    /** Arrivals of a Poisson process. They wait for a free caller; the wait counts into the latency. */
+    private *produceArrivals(): Operation<void> {
+        let at = this.clock.now();
+        while (at < this.stopAt) {
+            at += -Math.log(1 - this.random.next()) * 1000 / this.options.requestsPerSecond;
+            if (at > this.clock.now()) yield* sleep(this.clock, at - this.clock.now());
+            if (this.clock.now() < this.stopAt) this.arrivals.send({ load: this.pickLoad(), at });
+        }
+        for (let index = 0; index < this.options.connections; index++) this.arrivals.send(undefined);
+    }
+
+    private *work(caller: LoadCaller, index: number): Operation<void> {
+        const work = FranchiseeWork.create(`${this.options.runId}f${index}`, index, this.random);
+        for (;;) {
+            const arrival = yield* this.nextArrival();
+            if (arrival === undefined) return;
+            const ref = `${this.options.runId}-${++this.nextRef}`;
+            const request = work.makeRequest(arrival.load, ref);
+            const answer = yield* caller.send(request, ref, arrival.at);
+            const { className, writes } = request;
+            this.kept.push({ ref, className, group: caller.group, writes, ...answer, startedAt: arrival.at, latencyMs: this.clock.now() - arrival.at });
+            if (this.random.next() < this.options.roamShare) caller.roam();
+        }
+    }
+
+    private *nextArrival(): Operation<Arrival | undefined> {
+        if (this.options.requestsPerSecond > 0) return yield* this.arrivals.receive();
+        return this.clock.now() < this.stopAt ? { load: this.pickLoad(), at: this.clock.now() } : undefined;
+    }
+
+    private pickLoad(): ClassLoad {
+        const { loads } = this.options;
+        let rest = this.random.next() * loads.reduce((sum, load) => sum + load.requestsPerSecond, 0);
+        return loads.find(load => (rest -= load.requestsPerSecond) < 0) ?? loads.at(-1)!;
+    }
+}
--- /dev/null
+++ b/packages/bench/src/load/summarizeLoad.ts
@@ -0,0 +1,85 @@
+import { build, Histogram } from "hdr-histogram-js";
+import { ClassLoad } from "../measure/classLoad";
+import { LoadOutcome } from "./loadOutcome";
+import { LoadRecord } from "./loadRecord";
+
+/** Counts and latencies of one class. Latencies are of answered requests, in milliseconds. */
+interface ClassSummary {
+    readonly rank: string;
+    readonly requests: number;
+    readonly answered: number;
+    readonly refusedNotRun: number;
+    readonly unknown: number;
+    readonly failed: number;
+    readonly wrong: number;
+    /** Share of requests answered within the target of the class. */
+    readonly withinTarget: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+}
+
+/** The result of a load in all and by class. */
+export interface LoadSummary extends Omit<ClassSummary, "rank" | "withinTarget"> {
+    readonly requestsPerSecond: number;
+    readonly classes: Readonly<Record<string, ClassSummary>>;
+    /** Some of the errors, with how often each came. */
+    readonly errors: Readonly<Record<string, number>>;
+}
+
+const highestLatencyUs = 120_000_000;
+const listedErrors = 10;
+
+function buildHistogram(records: readonly LoadRecord[]): Histogram {
+    const histogram = build({ lowestDiscernibleValue: 1, highestTrackableValue: highestLatencyUs, numberOfSignificantValueDigits: 3 });
+    for (const record of records) {
+        if (record.outcome === LoadOutcome.Answered) histogram.recordValue(Math.min(highestLatencyUs, Math.max(1, Math.round(record.latencyMs * 1000))));
+    }
+    return histogram;
+}
+
+function toMilliseconds(valueUs: number): number {
+    return Math.round(valueUs / 10) / 100;
+}
+
+function count(records: readonly LoadRecord[]): Omit<ClassSummary, "rank" | "withinTarget"> {
+    const countOf = (outcome: LoadOutcome): number => records.filter(record => record.outcome === outcome).length;
+    const histogram = buildHistogram(records);
+    return {
+        requests: records.length,
+        answered: countOf(LoadOutcome.Answered),
+        refusedNotRun: countOf(LoadOutcome.RefusedNotRun),
+        unknown: countOf(LoadOutcome.Unknown),
+        failed: countOf(LoadOutcome.Failed),
+        wrong: countOf(LoadOutcome.Wrong),
+        p50Ms: toMilliseconds(histogram.getValueAtPercentile(50)),
+        p99Ms: toMilliseconds(histogram.getValueAtPercentile(99)),
+        maxMs: toMilliseconds(histogram.maxValue),
+    };
+}
+
+function summarizeClass(records: readonly LoadRecord[], load: ClassLoad): ClassSummary {
+    const inTime = records.filter(record => record.outcome === LoadOutcome.Answered && record.latencyMs <= load.workClass.targetMs);
+    return { rank: load.workClass.rank, ...count(records), withinTarget: records.length === 0 ? 1 : inTime.length / records.length };
+}
+
+function countErrors(records: readonly LoadRecord[]): Readonly<Record<string, number>> {
+    const counts = new Map<string, number>();
+    for (const { error, outcome } of records) {
+        if (error === undefined) continue;
+        const text = `${outcome}: ${error.replace(/\d+[-\w]*/g, "#").slice(0, 120)}`;
+        counts.set(text, (counts.get(text) ?? 0) + 1);
+    }
+    return Object.fromEntries([...counts].sort((first, second) => second[1] - first[1]).slice(0, listedErrors));
+}
+
+/** Summarizes the requests of a load that lasted `durationMs` milliseconds. */
+export function summarizeLoad(records: readonly LoadRecord[], loads: readonly ClassLoad[], durationMs: number): LoadSummary {
+    const classes = loads.map(load => [load.workClass.name, summarizeClass(records.filter(record => record.className === load.workClass.name), load)] as const);
+    return {
+        ...count(records),
+        requestsPerSecond: Math.round(records.length * 10_000 / durationMs) / 10,
+        classes: Object.fromEntries(classes),
+        errors: countErrors(records),
+    };
+}
--- a/packages/upstream/src/mysqlClient.ts
+++ b/packages/upstream/src/mysqlClient.ts
@@ -21,6 +21,8 @@
 const fatalErrors: ReadonlySet<number> = new Set([1053, 1152, 1158, 1159, 1160, 1161]);
 const closedError: QueryError = { rejected: false, handedOver: false, errno: 0, message: "connection is closed" };
 
+type ServerAddress = Pick<UpstreamSettings, "id" | "host" | "port">;
+
 /** A `mysql2` connection as operations. Cancelling a waiting statement closes the connection. */
 export class MysqlClient {
     private open = true;
@@ -33,7 +35,7 @@
 
     /** Connects and logs in. Fails with code 1300 to 1303; nothing has run in any of these cases. */
     public static *connect(
-        upstream: UpstreamSettings,
+        upstream: ServerAddress,
         credentials: UpstreamCredentials,
         clock: Clock,
         timeoutMs: number,
@@ -43,7 +45,7 @@
         return result ?? Err(createFailure(Diagnostics.connectTimedOut, RunOutcome.DidNotRun, upstream.id, address, timeoutMs));
     }
 
-    private static openConnection(upstream: UpstreamSettings, credentials: UpstreamCredentials): Operation<Result<MysqlClient, Failure>> {
+    private static openConnection(upstream: ServerAddress, credentials: UpstreamCredentials): Operation<Result<MysqlClient, Failure>> {
         return perform<Result<MysqlClient, Failure>>({
             start: resume => {
                 const connection = createConnection({
@@ -51,6 +53,7 @@
                     port: upstream.port,
                     user: credentials.user,
                     password: credentials.password,
+                    database: credentials.database,
                     connectTimeout: 0,
                     typeCast: false,
                     rowsAsArray: true,
@@ -71,7 +74,7 @@
         });
     }
 
-    private static describeConnectError(upstream: UpstreamSettings, credentials: UpstreamCredentials, err: QueryError): Failure {
+    private static describeConnectError(upstream: ServerAddress, credentials: UpstreamCredentials, err: QueryError): Failure {
         if (err.errno === tooManyConnections) return createFailure(Diagnostics.tooManyConnections, RunOutcome.DidNotRun, upstream.id);
         if (err.errno === accessDenied) return createFailure(Diagnostics.accessDenied, RunOutcome.DidNotRun, upstream.id, credentials.user);
         return createFailure(Diagnostics.connectFailed, RunOutcome.DidNotRun, upstream.id, `${upstream.host}:${upstream.port}`, err.message);
--- a/packages/upstream/src/upstreamCredentials.ts
+++ b/packages/upstream/src/upstreamCredentials.ts
@@ -1,5 +1,7 @@
-/** Login of the proxy at all upstreams. */
+/** Login at a MySQL server. */
 export interface UpstreamCredentials {
     readonly user: string;
     readonly password: string;
+    /** Database to select; absent: none. */
+    readonly database?: string;
 }
