--- /dev/null
+++ b/packages/bench/src/demo/countFaults.ts
@@ -0,0 +1,53 @@
+import { LoadOutcome } from "../load/loadOutcome";
+import { LoadRecord } from "../load/loadRecord";
+import { UpstreamRecord } from "../upstreamRecord";
+
+/** Requests whose end does not agree with what the upstreams recorded. */
+interface FaultCounts {
+    /** Answered writes that are not in the group's log. */
+    readonly lost: number;
+    /** Writes that are in the log more than once. */
+    readonly doubled: number;
+    /** Entries with statements of several requests or a part of one, and answers that belong to another caller. */
+    readonly mixed: number;
+    /** Writes reported as "did not run" that are in the log. */
+    readonly refusedButRan: number;
+    /** Answers without the caller's own acknowledged write. */
+    readonly ownWriteMissed: number;
+}
+
+const refPattern = /ref=(\S+)/;
+
+function readRefs(statements: readonly string[]): ReadonlySet<string> {
+    return new Set(statements.flatMap(sql => refPattern.exec(sql)?.[1] ?? []));
+}
+
+/** Chooses the record of the primary in the highest term. */
+function findFinalLog(records: readonly UpstreamRecord[]): UpstreamRecord["log"] {
+    const primaries = records.filter(record => record.isPrimary);
+    return primaries.sort((first, second) => second.acceptedTerm - first.acceptedTerm)[0]?.log ?? [];
+}
+
+/** Compares what callers were told with the final logs of the groups. `recordsByGroup` has the records of all upstreams. */
+export function countFaults(load: readonly LoadRecord[], recordsByGroup: ReadonlyMap<string, readonly UpstreamRecord[]>): FaultCounts {
+    const requests = new Map(load.map(record => [record.ref, record]));
+    const executions = new Map<string, number>();
+    let mixed = load.filter(record => record.outcome === LoadOutcome.Wrong && record.error!.startsWith("row")).length;
+    for (const records of recordsByGroup.values()) {
+        for (const entry of findFinalLog(records)) {
+            const refs = readRefs(entry.statements);
+            for (const ref of refs) executions.set(ref, (executions.get(ref) ?? 0) + 1);
+            const request = requests.get([...refs][0] ?? "");
+            const isPartial = request !== undefined && request.writes !== entry.statements.length;
+            if (refs.size > 1 || isPartial) mixed++;
+        }
+    }
+    const writes = load.filter(record => record.writes > 0);
+    return {
+        lost: writes.filter(record => record.outcome === LoadOutcome.Answered && !executions.has(record.ref)).length,
+        doubled: [...executions.values()].filter(count => count > 1).length,
+        mixed,
+        refusedButRan: writes.filter(record => record.outcome === LoadOutcome.RefusedNotRun && executions.has(record.ref)).length,
+        ownWriteMissed: load.filter(record => record.outcome === LoadOutcome.Wrong && record.error!.startsWith("own")).length,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/demo/countReplicaReads.ts
@@ -0,0 +1,32 @@
+import { LoadRecord } from "../load/loadRecord";
+import { UpstreamRecord } from "../upstreamRecord";
+
+const refPattern = /ref=(\S+)/;
+
+/**
+ * Share of eligible reads that replicas executed, by the record of the upstreams. Eligible are reads outside of
+ * transactions of classes that allow data of some age. A read that was executed twice counts twice.
+ */
+export function countReplicaReads(
+    load: readonly LoadRecord[],
+    records: readonly UpstreamRecord[],
+    eligibleClasses: ReadonlySet<string>,
+): { readonly eligible: number; readonly share: number; readonly shareOfAll: number; } {
+    const classByRef = new Map(load.map(record => [record.ref, record.className]));
+    const counts = { eligible: 0, eligibleOnReplicas: 0, all: 0, allOnReplicas: 0 };
+    for (const execution of records.flatMap(record => record.executions)) {
+        const className = classByRef.get(refPattern.exec(execution.sql)?.[1] ?? "");
+        if (execution.kind !== "read" || className === undefined) continue;
+        const onReplica = execution.role === "replica" ? 1 : 0;
+        counts.all++;
+        counts.allOnReplicas += onReplica;
+        if (!eligibleClasses.has(className)) continue;
+        counts.eligible++;
+        counts.eligibleOnReplicas += onReplica;
+    }
+    return {
+        eligible: counts.eligible,
+        share: counts.eligible === 0 ? 0 : counts.eligibleOnReplicas / counts.eligible,
+        shareOfAll: counts.all === 0 ? 0 : counts.allOnReplicas / counts.all,
+    };
+}
--- /dev/null
+++ b/packages/bench/src/demo/demoOptions.ts
@@ -0,0 +1,7 @@
+/** How the demo runs. */
+export interface DemoOptions {
+    /** Time for which load is sent, in milliseconds. */
+    readonly durationMs: number;
+    readonly requestsPerSecond: number;
+    readonly seed: number;
+}
--- /dev/null
+++ b/packages/bench/src/demo/demoRun.ts
@@ -0,0 +1,113 @@
+import { all } from "@vanillarouter/base/all";
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import { GroupProcesses } from "../groupProcesses";
+import { LoadRecord } from "../load/loadRecord";
+import { LoadRunner } from "../load/loadRunner";
+import { summarizeLoad } from "../load/summarizeLoad";
+import { Deployment } from "../measure/deployment";
+import { UpstreamProcess } from "../upstreamProcess";
+import { UpstreamRecord } from "../upstreamRecord";
+import { countFaults } from "./countFaults";
+import { countReplicaReads } from "./countReplicaReads";
+import { DemoOptions } from "./demoOptions";
+import { DemoReport } from "./demoReport";
+import { FleetProcesses } from "./fleetProcesses";
+import { measureGap } from "./measureGap";
+
+const callers = 24;
+const roamShare = 0.01;
+const lagMs = 3000;
+/** Parts of the load's duration after which a replica begins to lag and the primary of its group is killed. */
+const lagFrom = 0.2;
+const killAt = 0.5;
+
+/** Sends load to a running fleet while a replica lags and a primary is killed, and compares the answers with the record. */
+export class DemoRun {
+    private readonly records = new Map<string, UpstreamRecord[]>();
+    private killed: { readonly upstream: UpstreamProcess; readonly at: number; } | undefined;
+
+    private constructor(
+        private readonly clock: Clock,
+        private readonly fleet: FleetProcesses,
+        private readonly deployment: Deployment,
+        private readonly options: DemoOptions,
+    ) {}
+
+    public static create(clock: Clock, fleet: FleetProcesses, deployment: Deployment, options: DemoOptions): DemoRun {
+        return new DemoRun(clock, fleet, deployment, options);
+    }
+
+    /** Runs the demo on a started fleet; stops the fleet's processes before it counts. */
+    public *run(): Operation<DemoReport> {
+        const { deployment, options } = this;
+        const runner = LoadRunner.create(this.clock, {
+            target: { entries: this.fleet.vms.map(vm => vm.caller), user: this.fleet.user, password: this.fleet.password },
+            groups: deployment.groups.map(group => group.name),
+            loads: deployment.loads,
+            connections: callers,
+            requestsPerSecond: options.requestsPerSecond,
+            durationMs: options.durationMs,
+            seed: options.seed,
+            runId: "d",
+            roamShare,
+        });
+        const load = Task.start(runner.run());
+        yield* this.injectFaults(this.fleet.groups[0]!);
+        const sent = yield* load.join();
+        yield* all(this.fleet.groups.map(group => this.readRecords(group)));
+        const exitCodes = yield* this.fleet.stop();
+        return this.summarize(sent, exitCodes.every(code => code === 0));
+    }
+
+    private *injectFaults(group: GroupProcesses): Operation<void> {
+        const { durationMs } = this.options;
+        yield* sleep(this.clock, durationMs * lagFrom);
+        const lagging = group.upstreams.find(upstream => upstream !== group.upstreams[0])!;
+        const primary = yield* this.findPrimary(group);
+        yield* (lagging === primary ? group.upstreams[0]! : lagging).setFaults({ applyLagMs: lagMs });
+        yield* sleep(this.clock, durationMs * (killAt - lagFrom));
+        const current = yield* this.findPrimary(group);
+        // What a killed process executed is lost with it, so its record is read just before.
+        this.records.set(group.description.name, [{ ...(yield* current.readRecord()), isPrimary: false }]);
+        current.program.kill("SIGKILL");
+        this.killed = { upstream: current, at: this.clock.now() };
+    }
+
+    private *findPrimary(group: GroupProcesses): Operation<UpstreamProcess> {
+        for (const upstream of group.upstreams) {
+            if ((yield* upstream.readStatus())["isPrimary"] === true) return upstream;
+        }
+        throw new Error(`group ${group.description.name} has no primary`);
+    }
+
+    private *readRecords(group: GroupProcesses): Operation<void> {
+        const { name } = group.description;
+        const running = group.upstreams.filter(upstream => upstream.program.isRunning);
+        const read = yield* all(running.map(upstream => upstream.readRecord()));
+        this.records.set(name, [...this.records.get(name) ?? [], ...read]);
+    }
+
+    private summarize(sent: readonly LoadRecord[], cleanShutdown: boolean): DemoReport {
+        const { loads } = this.deployment;
+        const { requests, answered, refusedNotRun, unknown, failed, classes, errors } = summarizeLoad(sent, loads, this.options.durationMs);
+        const eligible = new Set(loads.filter(load => load.workClass.maxAgeMs !== undefined).map(load => load.workClass.name));
+        const reads = countReplicaReads(sent, [...this.records.values()].flat(), eligible);
+        const gap = measureGap(sent, this.fleet.groups[0]!.description.name, this.killed!.at);
+        return {
+            requests,
+            answered,
+            refusedNotRun,
+            unknown,
+            failed,
+            ...countFaults(sent, this.records),
+            replicaReadShare: Math.round(reads.share * 10_000) / 10_000,
+            failoverGapMs: gap === undefined ? -1 : Math.round(gap),
+            cleanShutdown,
+            classes,
+            errors,
+        };
+    }
+}
--- /dev/null
+++ b/packages/bench/src/demo/fleetProcesses.ts
@@ -0,0 +1,127 @@
+import { all } from "@vanillarouter/base/all";
+import { Clock } from "@vanillarouter/base/clock";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Operation } from "@vanillarouter/base/operation";
+import { WorkClass } from "@vanillarouter/base/workClass";
+import { createTestCertificates } from "@vanillarouter/vm/testing/createTestCertificates";
+import { createHash, randomBytes } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { GroupProcesses } from "../groupProcesses";
+import { ProgramProcess } from "../programProcess";
+import { EntryVm } from "./entryVm";
+
+/** What a fleet consists of. */
+interface FleetOptions {
+    readonly clock: Clock;
+    readonly zones: readonly string[];
+    readonly vmsPerZone: number;
+    readonly groupNames: readonly string[];
+    readonly slots: number;
+    readonly statementMs: number;
+    readonly workClasses: readonly WorkClass[];
+}
+
+const host = "127.0.0.1";
+const maxConnections = 30;
+const packages = join(__dirname, "..", "..", "..");
+const user = "shop";
+
+function sha1(data: Buffer | string): Buffer {
+    return createHash("sha1").update(data).digest();
+}
+
+/** The platform stand-in, database groups and VMs of a demo or measurement, as processes on loopback. */
+export class FleetProcesses {
+    public readonly user = user;
+    /** Password of the caller account, and the credential of the administration API. */
+    public readonly password = randomBytes(16).toString("hex");
+    public readonly groups: GroupProcesses[] = [];
+    public readonly vms: EntryVm[] = [];
+    private readonly folder = mkdtempSync(join(tmpdir(), "vanillarouter-demo-"));
+    private readonly clusterKey = randomBytes(16).toString("hex");
+    private platform: ProgramProcess | undefined;
+
+    private constructor(private readonly options: FleetOptions) {}
+
+    public static create(options: FleetOptions): FleetProcesses {
+        return new FleetProcesses(options);
+    }
+
+    /** Starts everything and loads the configuration. Throws if a process does not start; `stop` still cleans up. */
+    public *start(): Operation<void> {
+        this.writeCertificates();
+        const platformPort = yield* this.startPlatform();
+        for (const name of this.options.groupNames) this.groups.push(yield* this.startGroup(name));
+        for (let number = 1; number <= this.options.vmsPerZone; number++) {
+            for (const zone of this.options.zones) yield* this.startVm(`${zone}-vm${number}`, zone, platformPort);
+        }
+        yield* this.vms[0]!.changeConfiguration(this.makeEdits(this.groups.map(group => group.description)));
+        yield* all(this.vms.map(vm => vm.waitServing(this.options.clock)));
+    }
+
+    /** Ends every process that was started, by its id, and removes the temporary folder. Returns the exit codes of the VMs. */
+    public *stop(): Operation<readonly (number | undefined)[]> {
+        const codes = yield* all(this.vms.map(vm => vm.program.stop()));
+        yield* all(this.groups.map(group => group.stop()));
+        if (this.platform !== undefined) yield* this.platform.stop();
+        rmSync(this.folder, { recursive: true, force: true });
+        return codes;
+    }
+
+    private writeCertificates(): void {
+        for (const [name, text] of Object.entries(createTestCertificates())) writeFileSync(this.findPem(name), text, { mode: 0o600 });
+    }
+
+    private findPem(name: string): string {
+        return join(this.folder, `${name}.pem`);
+    }
+
+    private *startPlatform(): Operation<number> {
+        this.platform = ProgramProcess.create("vr-platform", join(packages, "standins", "dist", "platformMain.js"), []);
+        const line = yield* this.platform.waitReady();
+        return Number(line.split(":").at(-1));
+    }
+
+    /** The upstreams of a group are spread over the zones, and the primaries of the groups too. */
+    private startGroup(name: string): Operation<GroupProcesses> {
+        const { zones, slots, statementMs } = this.options;
+        const index = this.groups.length;
+        const upstreamZones = [0, 1, 2].map(number => zones[(number + index) % zones.length]!);
+        return GroupProcesses.start({ name, zones: upstreamZones, slots, maxConnections, statementMs });
+    }
+
+    private *startVm(id: string, zone: string, platformPort: number): Operation<void> {
+        const settings = {
+            vm: { id, zone, host, heartbeatPort: 0, linkPort: 0, seeds: this.vms.map(vm => ({ host, heartbeatPort: vm.heartbeatPort })) },
+            caller: { host, port: 0 },
+            administration: { host, port: 0, credential: this.password },
+            cluster: {
+                key: this.clusterKey,
+                certificateFile: this.findPem("certificate"),
+                privateKeyFile: this.findPem("privateKey"),
+                authorityFile: this.findPem("authority"),
+            },
+            platform: { host, port: platformPort },
+            upstream: { user: "vr", password: "vr" },
+            shutdown: { announceMs: 200, timeoutMs: 5000 },
+        };
+        const file = join(this.folder, `${id}.json`);
+        writeFileSync(file, JSON.stringify(settings), { mode: 0o600 });
+        const program = ProgramProcess.create(id, join(packages, "daemon", "dist", "daemonMain.js"), ["--settings", file]);
+        const vm = EntryVm.create(program, this.password);
+        this.vms.push(vm);
+        yield* vm.waitReady();
+    }
+
+    private makeEdits(groups: readonly DatabaseGroup[]): readonly unknown[] {
+        const { workClasses } = this.options;
+        const account = { user, passwordHash: sha1(sha1(this.password)).toString("hex"), defaultClass: workClasses[0]!.name };
+        return [
+            ...workClasses.map(value => ({ section: "classes", name: value.name, value })),
+            { section: "accounts", name: user, value: account },
+            ...groups.map(value => ({ section: "groups", name: value.name, value })),
+        ];
+    }
+}
