Close a connection after a refused COMMIT; kill and lag in different groups

The stand-in now rolls back, and the client closes the connection, since the interface promises neither.

--- a/packages/bench/src/demo/demoRun.ts
+++ b/packages/bench/src/demo/demoRun.ts
@@ -20,14 +20,14 @@
 const callers = 24;
 const roamShare = 0.01;
 const lagMs = 3000;
-/** Parts of the load's duration after which a replica begins to lag and the primary of its group is killed. */
+/** Parts of the load's duration after which a replica begins to lag and a primary is killed. */
 const lagFrom = 0.2;
 const killAt = 0.5;
 
 /** Sends load to a running fleet while a replica lags and a primary is killed, and compares the answers with the record. */
 export class DemoRun {
     private readonly records = new Map<string, UpstreamRecord[]>();
-    private killed: { readonly upstream: UpstreamProcess; readonly at: number; } | undefined;
+    private killed: { readonly group: string; readonly at: number; } | undefined;
 
     private constructor(
         private readonly clock: Clock,
@@ -55,25 +55,26 @@
             roamShare,
         });
         const load = Task.start(runner.run());
-        yield* this.injectFaults(this.fleet.groups[0]!);
+        yield* this.injectFaults();
         const sent = yield* load.join();
         yield* all(this.fleet.groups.map(group => this.readRecords(group)));
         const exitCodes = yield* this.fleet.stop();
         return this.summarize(sent, exitCodes.every(code => code === 0));
     }
 
-    private *injectFaults(group: GroupProcesses): Operation<void> {
+    /** A replica of the first group lags from then on; the primary of the second group is killed. */
+    private *injectFaults(): Operation<void> {
         const { durationMs } = this.options;
+        const [laggingGroup, group] = this.fleet.groups as [GroupProcesses, GroupProcesses];
         yield* sleep(this.clock, durationMs * lagFrom);
-        const lagging = group.upstreams.find(upstream => upstream !== group.upstreams[0])!;
-        const primary = yield* this.findPrimary(group);
-        yield* (lagging === primary ? group.upstreams[0]! : lagging).setFaults({ applyLagMs: lagMs });
+        const primary = yield* this.findPrimary(laggingGroup);
+        yield* laggingGroup.upstreams.find(upstream => upstream !== primary)!.setFaults({ applyLagMs: lagMs });
         yield* sleep(this.clock, durationMs * (killAt - lagFrom));
         const current = yield* this.findPrimary(group);
         // What a killed process executed is lost with it, so its record is read just before.
         this.records.set(group.description.name, [{ ...(yield* current.readRecord()), isPrimary: false }]);
         current.program.kill("SIGKILL");
-        this.killed = { upstream: current, at: this.clock.now() };
+        this.killed = { group: group.description.name, at: this.clock.now() };
     }
 
     private *findPrimary(group: GroupProcesses): Operation<UpstreamProcess> {
@@ -95,7 +96,7 @@
         const { requests, answered, refusedNotRun, unknown, failed, classes, errors } = summarizeLoad(sent, loads, this.options.durationMs);
         const eligible = new Set(loads.filter(load => load.workClass.maxAgeMs !== undefined).map(load => load.workClass.name));
         const reads = countReplicaReads(sent, [...this.records.values()].flat(), eligible);
-        const gap = measureGap(sent, this.fleet.groups[0]!.description.name, this.killed!.at);
+        const gap = measureGap(sent, this.killed!.group, this.killed!.at);
         return {
             requests,
             answered,
--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -101,6 +101,11 @@
         assert.deepEqual((yield* reader.read(count, undefined)).unwrap().result.rows, [["0"]]);
         const committed = (yield* writer.commit(1, "t1")).unwrap();
         assert.deepEqual((yield* reader.read(count, committed.at)).unwrap().result.rows, [["1"]]);
+        const refused = yield* connect(primary);
+        (yield* refused.begin(1)).unwrap();
+        (yield* refused.executeInTransaction(insert)).unwrap();
+        expectFailure(yield* refused.commit(2, "t2"), RoutingDiagnostics.termReplaced.code, RunOutcome.DidNotRun);
+        assert.equal(refused.isOpen, false, "a later statement would run inside the refused transaction");
         (yield* lost.begin(1)).unwrap();
         (yield* lost.executeInTransaction(insert)).unwrap();
         lost.close();
--- a/packages/standins/src/groupSession.ts
+++ b/packages/standins/src/groupSession.ts
@@ -44,7 +44,13 @@
         const { hint, sql, statement } = parseGroupStatement(text);
         if (statement === undefined) throw GroupError.create(ErrorNumber.ParseError, `statement is not supported by the stand-in: ${sql.slice(0, 80)}`);
         if (statement.kind === "call") return this.calls.run(statement.name, statement.args, hint, this.connection);
-        this.checkBefore(statement, hint);
+        try {
+            this.checkBefore(statement, hint);
+        }
+        catch (err) {
+            if (statement.kind === "commit") this.transaction = undefined;
+            throw err;
+        }
         await this.upstream.slots.acquire();
         try {
             const delayMs = this.upstream.faults.statementMs;
--- a/packages/upstream/src/mysqlUpstreamConnection.ts
+++ b/packages/upstream/src/mysqlUpstreamConnection.ts
@@ -56,8 +56,10 @@
         return Ok(this.separatePosition(result.val, beginning));
     }
 
+    /** A refused COMMIT closes the connection: whether the upstream rolled the transaction back is not part of its interface. */
     public *commit(term: number, requestId: string): Operation<Result<UpstreamAnswer, Failure>> {
         const result = yield* this.client.query(`/*vr term=${term} req=${requestId}*/ COMMIT`);
+        if (result.err) this.client.close();
         return result.err ? this.resolveWriteError(result.val, term, requestId) : this.acceptWrite(result.val, "COMMIT");
     }
 
