--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -2,7 +2,6 @@
 import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { createLogger } from "@vanillarouter/base/createLogger";
-import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
 import { Rank } from "@vanillarouter/base/rank";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
@@ -105,7 +104,6 @@
         entry: { openSession },
         clock: SystemClock.create(),
         logger: createLogger("test", "fatal"),
-        latencies: LatencyMetrics.create(),
         counters: CounterMetrics.create(),
         limits: { maxConnections: 5, maxStatementBytes, loginTimeoutMs: 300 },
     });
@@ -146,6 +144,13 @@
     assert.notEqual(requests[2]!.requestId, "f-attribute:r7", "a request id set as variable counts once");
 });
 
+test("a retry is marked, and every token of a session whose statements overlapped is taken over", async () => {
+    const connection = await open();
+    await connection.query("/*vr session=s1 token=abc,def req=7 retry */ INSERT 1");
+    assert.equal(requests[0]!.isRetry, true);
+    assert.deepEqual(attached, ["s1/abc", "s1/def"]);
+});
+
 test("malformed hints, state on shared connections and unknown commands get numbered errors and reach no session", async () => {
     const connection = await open();
     const refused: readonly (readonly [string, RegExp])[] = [
@@ -156,6 +161,8 @@
         ["SET autocommit = 0", /^\[vr-1107\]/],
         ["SET @other = 1", /^\[vr-1113\]/],
         ["LOCK TABLES t WRITE", /^\[vr-1107\]/],
+        ["/* app */ LOCK TABLES t WRITE", /^\[vr-1107\]/],
+        ["/* only a comment */", /^\[vr-1107\]/],
         ["USE nowhere", /^\[vr-1201\]/],
         [`SELECT '${"x".repeat(maxStatementBytes)}'`, /^\[vr-1104\]/],
     ];
