--- a/packages/bench/src/measure/formatMeasurements.ts
+++ b/packages/bench/src/measure/formatMeasurements.ts
@@ -6,6 +6,10 @@
     return value === undefined ? "-" : String(value);
 }
 
+function formatNumber(value: number | undefined): string {
+    return value === undefined ? "-" : value.toFixed(0);
+}
+
 function formatShare(value: number | undefined): string {
     return value === undefined ? "-" : `${(value * 100).toFixed(2)}%`;
 }
@@ -17,7 +21,7 @@
     return [
         ...kept.map((className): Row => [`${name}: ${className} keeps`, formatShare(first?.kept[className]), formatShare(second?.kept[className])]),
         [`${name}: other urgent within target`, formatShare(first?.otherUrgentWithinTarget), formatShare(second?.otherUrgentWithinTarget)],
-        [`${name}: overloaded class served per s`, formatValue(first?.overloadedServedPerSecond), formatValue(second?.overloadedServedPerSecond)],
+        [`${name}: overloaded class served per s`, formatNumber(first?.overloadedServedPerSecond), formatNumber(second?.overloadedServedPerSecond)],
     ];
 }
 
@@ -25,11 +29,11 @@
     const compare = (name: string, read: (measurement: Measurement) => string): Row => [name, read(naive), read(ours)];
     return [
         compare("eligible reads on replicas", measured => formatShare(measured.replicaReadShare)),
-        compare("failover gap, median ms", measured => formatValue(measured.failoverGapMs.median)),
-        compare("failover gap, longest ms", measured => formatValue(measured.failoverGapMs.longest)),
-        compare("  detection, median ms", measured => formatValue(measured.failoverGapMs.detectionMedian)),
-        compare("  election, median ms", measured => formatValue(measured.failoverGapMs.electionMedian)),
-        compare("  first acknowledged write, median ms", measured => formatValue(measured.failoverGapMs.firstWriteMedian)),
+        compare("failover gap, median ms", measured => formatNumber(measured.failoverGapMs.median)),
+        compare("failover gap, longest ms", measured => formatNumber(measured.failoverGapMs.longest)),
+        compare("  detection, median ms", measured => formatNumber(measured.failoverGapMs.detectionMedian)),
+        compare("  election, median ms", measured => formatNumber(measured.failoverGapMs.electionMedian)),
+        compare("  first acknowledged write, median ms", measured => formatNumber(measured.failoverGapMs.firstWriteMedian)),
         compare("  failures / completed", measured => `${measured.failoverGapMs.failures} / ${measured.failoverGapMs.completed}`),
         ...Object.keys(ours.service).map(name => compare(`service: ${name}`, measured => formatShare(measured.service[name]))),
         ...Object.keys(ours.service).map(name => compare(`during failures: ${name}`, measured => formatShare(measured.serviceDuringFailures[name]))),
--- a/packages/bench/src/measure/loadGenerator.ts
+++ b/packages/bench/src/measure/loadGenerator.ts
@@ -82,7 +82,8 @@
         const vm = random.next() < roamingShare ? Math.floor(random.next() * this.fleet.deployment.vmZones.length) : franchisee.homeVm;
         const token = random.next() < lostTokenShare ? undefined : franchisee.token;
         const req = this.makeRequest(franchisee.name, group, isWrite);
-        const ownPosition = (token ?? franchisee).positions.get(group) ?? 0;
+        const expected = token === undefined || !this.system.givesTokens ? franchisee.positions : token.positions;
+        const ownPosition = expected.get(group) ?? 0;
         if (isCounted) this.ledger.recordSent(load.workClass.name);
         const task = Task.start(this.system.execute(vm, `${load.workClass.name}-${franchisee.name}`, token?.text, req));
         task.onSettled(() =>
--- a/packages/bench/src/measure/naiveSystem.ts
+++ b/packages/bench/src/measure/naiveSystem.ts
@@ -20,6 +20,7 @@
  * served, sends every statement to the primary and repeats what fails under a new id.
  */
 export class NaiveSystem implements MeasuredSystem {
+    public readonly givesTokens = false;
     private readonly pools: readonly Map<string, NaivePool>[];
     private readonly views: readonly Map<string, GroupView>[];
 
--- a/packages/bench/src/measure/routedSystem.ts
+++ b/packages/bench/src/measure/routedSystem.ts
@@ -38,6 +38,7 @@
 
 /** The product's own classes on the VMs of a fake fleet: entry services, upstream owners and failover coordinators. */
 export class RoutedSystem implements MeasuredSystem {
+    public readonly givesTokens = true;
     public readonly metrics = EntryMetrics.create();
     private readonly vms: readonly Vm[];
     private readonly random: RandomSource;
