--- a/packages/caller/src/connectionState.ts
+++ b/packages/caller/src/connectionState.ts
@@ -5,22 +5,25 @@
 import { CallerSession } from "@vanillarouter/routing/callerSession";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { Err, Ok, Result } from "ts-results";
-import { addHintValue } from "./addHintValue";
 import { CallerVariables } from "./callerVariables";
 import { Diagnostics } from "./diagnostics";
 import { Hint } from "./hint";
+import { HintDraft } from "./hintDraft";
 import { mergeHints } from "./mergeHints";
 import { SessionSwitch } from "./sessionSwitch";
 
 const variablePrefix = "vr_";
+const noHint: Hint = HintDraft.create();
 const attributeKeys = ["class", "franchisee", "session", "token", "deadline"];
 const wordVariables = new Set(["once", "repeatable"]);
 const variableKeys = new Set([...attributeKeys, "req", ...wordVariables]);
 
 /** What a logged-in caller connection has selected and set. */
 export class ConnectionState implements CallerVariables {
-    private attributeHint: Hint = {};
-    private variableHint: Hint = {};
+    private attributeHint: Hint = noHint;
+    private variableHint: Hint = noHint;
+    /** What was said of the connection as a whole. */
+    private connectionHint: Hint = noHint;
     private readonly variables = new Map<string, string>();
     private readonly sessions: SessionSwitch;
 
@@ -56,13 +59,14 @@
 
     /** Takes the values of connection attributes such as `vr_class`. */
     public setAttributes(attributes: Readonly<Record<string, string>>): Result<void, Failure> {
+        const hint = HintDraft.create();
         for (const key of attributeKeys) {
             const value = attributes[variablePrefix + key];
             if (value === undefined || value === "") continue;
-            const added = addHintValue(this.attributeHint, key, value);
-            if (added.err) return added;
-            this.attributeHint = added.val;
+            const fault = hint.set(key, value);
+            if (fault !== undefined) return Err(fault);
         }
+        this.attributeHint = hint;
         return this.selectHome();
     }
 
@@ -106,7 +110,7 @@
 
     /** Combines what the caller said of the statement and of the connection. */
     public resolveHint(statementHint: Hint): Hint {
-        return mergeHints(statementHint, mergeHints(this.attributeHint, this.variableHint));
+        return mergeHints(statementHint, this.connectionHint);
     }
 
     /** Forgets a request id that was set as variable; it counts for one statement only. */
@@ -122,15 +126,15 @@
     /** Forgets what was set by statements, as a client asks for when its pool hands the connection on. */
     public reset(): void {
         this.variables.clear();
-        this.variableHint = {};
+        this.variableHint = noHint;
         this.selectHome();
     }
 
     /** Applies the session of the connection, so that a token which is not authentic is refused where it is given. */
     private selectHome(): Result<void, Failure> {
-        const hint = this.resolveHint({});
-        this.sessions.setHome(hint.session);
-        return this.attach(hint);
+        this.connectionHint = mergeHints(this.attributeHint, this.variableHint);
+        this.sessions.setHome(this.connectionHint.session);
+        return this.attach(this.connectionHint);
     }
 
     private replaceVariable(name: string, value: string | undefined): void {
@@ -139,12 +143,11 @@
     }
 
     private readVariables(): Result<Hint, Failure> {
-        let hint: Hint = {};
+        const hint = HintDraft.create();
         for (const [name, value] of this.variables) {
             const key = name.slice(variablePrefix.length);
-            const added = addHintValue(hint, key, wordVariables.has(key) ? "" : value);
-            if (added.err) return added;
-            hint = added.val;
+            const fault = hint.set(key, wordVariables.has(key) ? "" : value);
+            if (fault !== undefined) return Err(fault);
         }
         return Ok(hint);
     }
--- a/packages/caller/src/mergeHints.ts
+++ b/packages/caller/src/mergeHints.ts
@@ -6,5 +6,14 @@
  */
 export function mergeHints(specific: Hint, general: Hint): Hint {
     const isSameSession = specific.session === undefined || specific.session === general.session;
-    return { ...general, ...specific, token: specific.token ?? (isSameSession ? general.token : undefined) };
+    return {
+        className: specific.className ?? general.className,
+        franchisee: specific.franchisee ?? general.franchisee,
+        session: specific.session ?? general.session,
+        token: specific.token ?? (isSameSession ? general.token : undefined),
+        requestId: specific.requestId ?? general.requestId,
+        timeoutMs: specific.timeoutMs ?? general.timeoutMs,
+        repeatable: specific.repeatable ?? general.repeatable,
+        isRetry: specific.isRetry ?? general.isRetry,
+    };
 }
--- a/packages/caller/src/parseHintComment.ts
+++ b/packages/caller/src/parseHintComment.ts
@@ -2,12 +2,13 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err, Ok, Result } from "ts-results";
-import { addHintValue } from "./addHintValue";
 import { Diagnostics } from "./diagnostics";
 import { Hint } from "./hint";
+import { HintDraft } from "./hintDraft";
 import { HintedStatement } from "./hintedStatement";
 
-const emptyHint: Hint = {};
+const emptyHint: Hint = HintDraft.create();
+const whiteSpace = /\s+/;
 const opening = /^\/\*vr\b/;
 const openingLength = "/*vr".length;
 
@@ -16,17 +17,16 @@
 }
 
 function parseWords(text: string): Result<Hint, Failure> {
-    let hint = emptyHint;
-    const seen = new Set<string>();
-    for (const word of text.split(/\s+/)) {
+    const hint = HintDraft.create();
+    const keys: string[] = [];
+    for (const word of text.split(whiteSpace)) {
         if (word === "") continue;
         const separator = word.indexOf("=");
         const key = separator < 0 ? word : word.slice(0, separator);
-        if (seen.has(key)) return Err(createFailure(Diagnostics.malformedHint, RunOutcome.DidNotRun, `${key.slice(0, 40)} is repeated`));
-        seen.add(key);
-        const added = addHintValue(hint, key, separator < 0 ? "" : word.slice(separator + 1));
-        if (added.err) return added;
-        hint = added.val;
+        if (keys.includes(key)) return Err(createFailure(Diagnostics.malformedHint, RunOutcome.DidNotRun, `${key.slice(0, 40)} is repeated`));
+        keys.push(key);
+        const fault = hint.set(key, separator < 0 ? "" : word.slice(separator + 1));
+        if (fault !== undefined) return Err(fault);
     }
     return Ok(hint);
 }
