--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -240,9 +240,16 @@
         }
     });
     await new Promise(resolve => setTimeout(resolve, 200));
+    const transaction = await open(vms[1]!);
+    await transaction.query("BEGIN");
+    await transaction.query(insert.replace("REF", "part-1"));
     leaving.child.kill("SIGTERM");
     await eventually(async () => assert.equal((await fetch(`${leaving.admin}/health`)).status, 503, "the load balancer is told before callers are"));
-    const [code] = await once(leaving.child, "exit");
+    const exited = once(leaving.child, "exit");
+    await new Promise(resolve => setTimeout(resolve, 800));
+    await transaction.query(insert.replace("REF", "part-2"));
+    await transaction.query("COMMIT");
+    const [code] = await exited;
     await load;
     await new Promise(resolve => setTimeout(resolve, 500));
     isLeft = true;
@@ -250,8 +257,9 @@
     assert.deepEqual(failures, [], "callers of the other VM see nothing of the change of owners");
     assert.equal(code, 0, leaving.readLog());
     assert.equal(refused, 1);
+    transaction.destroy();
     const executed = await readExecuted();
-    for (const ref of answered) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
+    for (const ref of [...answered, "part-1", "part-2"]) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
     assert.equal(executed.filter(sql => sql.includes("'drain-")).length, answered.length, "what was refused did not run");
     for (const other of others) other.destroy();
 });
