Refuse an unknown class also for statements answered by the entry VM

Cause: statements such as SELECT 1 are answered locally, before the class that their comment names was looked up, so a misspelled class went unnoticed.

--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -161,6 +161,7 @@
         ["/*vr class=orders SELECT 1 FROM t", /^\[vr-1105\]/],
         ["/*vr once*/ /*vr term=7*/ SELECT 1 FROM t", /^\[vr-1105\]/],
         ["/*vr deadline=-1*/ SELECT 1 FROM t", /^\[vr-1105\]/],
+        ["/*vr class=nope*/ SELECT 1", /^\[vr-1200\]/],
         ["SET autocommit = 0", /^\[vr-1107\]/],
         ["SET @other = 1", /^\[vr-1113\]/],
         ["LOCK TABLES t WRITE", /^\[vr-1107\]/],
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -6,6 +6,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
 import { StatementRequest } from "@vanillarouter/routing/statementRequest";
 import { Err, Ok, Result } from "ts-results";
@@ -127,6 +128,8 @@
         const parsed = parseHintComment(command.text);
         if (parsed.err) return parsed;
         const { sql } = parsed.val;
+        const unknownClass = this.findUnknownClass(parsed.val.hint);
+        if (unknownClass !== undefined) return Err(unknownClass);
         const local = this.answerLocally(parsed.val.hint, sql);
         if (local !== undefined) return local;
         const hint = this.state.resolveHint(parsed.val.hint);
@@ -137,6 +140,13 @@
         return yield* this.session.execute(req);
     }
 
+    /** Statements that are answered without an upstream check a class that their comment names, like all others. */
+    private findUnknownClass({ className }: Hint): Failure | undefined {
+        const classes = this.services.configuration.current?.classes;
+        if (className === undefined || classes === undefined || classes.has(className)) return undefined;
+        return createFailure(RoutingDiagnostics.unknownClass, RunOutcome.DidNotRun, className);
+    }
+
     private answerLocally(statementHint: Hint, sql: string): Result<StatementAnswer, Failure> | undefined {
         if (statementHint.session !== undefined || statementHint.token !== undefined) {
             const attached = this.state.attach(statementHint);
