--- a/packages/bench/src/demo/fleetProcesses.ts
+++ b/packages/bench/src/demo/fleetProcesses.ts
@@ -17,14 +17,17 @@
     readonly clock: Clock;
     readonly zones: readonly string[];
     readonly vmsPerZone: number;
+    /** Zones that upstreams are spread over; absent: all. */
+    readonly upstreamZones?: readonly string[];
     readonly groupNames: readonly string[];
     readonly slots: number;
+    /** Connection limit of each upstream. */
+    readonly maxConnections: number;
     readonly statementMs: number;
     readonly workClasses: readonly WorkClass[];
 }
 
 const host = "127.0.0.1";
-const maxConnections = 30;
 const packages = join(__dirname, "..", "..", "..");
 const user = "shop";
 
@@ -86,10 +89,11 @@
 
     /** The upstreams of a group are spread over the zones, and the primaries of the groups too. */
     private startGroup(name: string): Operation<GroupProcesses> {
-        const { zones, slots, statementMs } = this.options;
+        const { slots, maxConnections, statementMs } = this.options;
+        const zones = this.options.upstreamZones ?? this.options.zones;
         const index = this.groups.length;
-        const upstreamZones = [0, 1, 2].map(number => zones[(number + index) % zones.length]!);
-        return GroupProcesses.start({ name, zones: upstreamZones, slots, maxConnections, statementMs });
+        const spread = [0, 1, 2].map(number => zones[(number + index) % zones.length]!);
+        return GroupProcesses.start({ name, zones: spread, slots, maxConnections, statementMs });
     }
 
     private *startVm(id: string, zone: string, platformPort: number): Operation<void> {
--- a/packages/bench/src/demoMain.ts
+++ b/packages/bench/src/demoMain.ts
@@ -46,6 +46,7 @@
         vmsPerZone,
         groupNames: deployment.groups.map(group => group.name),
         slots: deployment.groups[0]!.upstreams[0]!.slots,
+        maxConnections: deployment.groups[0]!.upstreams[0]!.maxConnections,
         statementMs,
         workClasses: deployment.loads.map(load => load.workClass),
     });
