--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -6,6 +6,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
 import { StatementRequest } from "@vanillarouter/routing/statementRequest";
 import { Err, Ok, Result } from "ts-results";
@@ -127,6 +128,8 @@
         const parsed = parseHintComment(command.text);
         if (parsed.err) return parsed;
         const { sql } = parsed.val;
+        const unknownClass = this.findUnknownClass(parsed.val.hint);
+        if (unknownClass !== undefined) return Err(unknownClass);
         const hint = this.state.resolveHint(parsed.val.hint);
         const attached = this.state.attach(hint);
         if (attached.err) return attached;
@@ -138,6 +141,13 @@
         return yield* this.session.execute(req);
     }
 
+    /** Statements that are answered without an upstream check a class that their comment names, like all others. */
+    private findUnknownClass({ className }: Hint): Failure | undefined {
+        const classes = this.services.configuration.current?.classes;
+        if (className === undefined || classes === undefined || classes.has(className)) return undefined;
+        return createFailure(RoutingDiagnostics.unknownClass, RunOutcome.DidNotRun, className);
+    }
+
     /** Request ids of callers are unique for a franchisee only; those made here are unique by themselves. */
     private createRequest(hint: Hint, sql: string, arrivedAt: number): StatementRequest {
         const { user, database } = this.state;
