End a connection with a damaged login without an uncaught exception or printed traces

Cause: a length at the end of a login packet made mysql2's packet reader throw outside its own handler, and a byte that is no length made it print a stack trace.

--- a/packages/caller/src/callerConnection.ts
+++ b/packages/caller/src/callerConnection.ts
@@ -123,12 +123,20 @@
         this.refuse(createFailure(Diagnostics.statementTooLarge, RunOutcome.DidNotRun, allowed - readChunkBytes));
     }
 
+    /** Reading a damaged packet may throw, which must end this connection only. */
     private acceptPacket(packet: InboundPacket | undefined, forward: (packet: InboundPacket | undefined) => void): void {
-        if (packet === undefined) {
-            forward.call(this.connection, packet);
-            return;
+        if (this.isClosing && packet !== undefined) return;
+        try {
+            if (packet === undefined) forward.call(this.connection, packet);
+            else this.readPacket(packet, forward);
         }
-        if (this.isClosing) return;
+        catch (err) {
+            const diagnostic = this.runner === undefined ? Diagnostics.malformedLogin : Diagnostics.connectionTaskFailed;
+            this.refuse(createFailure(diagnostic, RunOutcome.DidNotRun, String(err)));
+        }
+    }
+
+    private readPacket(packet: InboundPacket, forward: (packet: InboundPacket) => void): void {
         this.bytesSincePacket = 0;
         if (packet.sequenceId !== this.connection.sequenceId) {
             this.refuse(createFailure(Diagnostics.packetOutOfOrder, RunOutcome.DidNotRun, packet.sequenceId, this.connection.sequenceId));
--- a/packages/caller/src/callerListener.test.ts
+++ b/packages/caller/src/callerListener.test.ts
@@ -10,10 +10,11 @@
 import { CallerSession } from "@vanillarouter/routing/callerSession";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import * as fc from "fast-check";
 import { Connection, createConnection } from "mysql2/promise";
 import * as assert from "node:assert/strict";
 import { createHash } from "node:crypto";
-import { connect } from "node:net";
+import { connect, Socket } from "node:net";
 import { after, afterEach, before, beforeEach, mock, test } from "node:test";
 import { Err, Ok } from "ts-results";
 import { CallerListener } from "./callerListener";
@@ -115,7 +116,7 @@
 afterEach(async () => {
     for (const connection of opened.splice(0)) connection.destroy();
     listener.close();
-    assert.deepEqual(printed, [], "mysql2 must not print warnings about packet numbers or unknown commands");
+    assert.deepEqual(printed.splice(0), [], "mysql2 must not print warnings about packet numbers or unknown commands");
 });
 
 test("answers rows, NULL and the empty text apart, and counts and token of a write", async () => {
@@ -223,6 +224,41 @@
     await other.query("SELECT a");
 });
 
+test("random bytes and damaged logins end their connection and disturb neither another one nor the process", async () => {
+    const other = await open();
+    const login = Buffer.concat([Buffer.alloc(32), Buffer.from("shop\0"), Buffer.from([20]), Buffer.alloc(20), Buffer.from("stock\0mysql_native_password\0")]);
+    login.writeUInt32LE(0x38aa0d);
+    for (const tail of ["fe", "fe00", "fd01", "fc", "fb", "fefefefefefefefefe", "0afe"]) {
+        assert.match(await sendRaw(frame(Buffer.concat([login, Buffer.from(tail, "hex")]), 1), true), /\[vr-11(00|08)\]/, tail);
+    }
+    const damage = fc.tuple(fc.nat(login.length - 1), fc.integer({ min: 0, max: 255 }));
+    await fc.assert(
+        fc.asyncProperty(fc.array(damage, { minLength: 1, maxLength: 6 }), fc.uint8Array({ maxLength: 40 }), async (changes, tail) => {
+            const bytes = Buffer.concat([login, tail]);
+            for (const [index, value] of changes) bytes[index] = value;
+            await sendRaw(Buffer.concat([frame(bytes, 1), Buffer.from(tail)]), true);
+        }),
+        { seed: 11, numRuns: 150 },
+    );
+    await other.query("SELECT a");
+});
+
+test("random commands after the login get errors or end their connection and disturb no other one", async () => {
+    const other = await open();
+    await fc.assert(
+        fc.asyncProperty(fc.array(fc.uint8Array({ minLength: 1, maxLength: 30 }), { minLength: 1, maxLength: 20 }), async commands => {
+            const { stream } = (await open() as unknown as { readonly connection: { readonly stream: Socket; }; }).connection;
+            stream.removeAllListeners("data").resume();
+            const closed = new Promise(resolve => stream.on("close", resolve));
+            for (const command of commands) stream.write(frame(Buffer.from(command), 0));
+            stream.end();
+            await closed;
+        }),
+        { seed: 12, numRuns: 60 },
+    );
+    await other.query("SELECT a");
+});
+
 test("an unexpected exception ends its connection only and its session is closed", async () => {
     const other = await open();
     const connection = await open();
--- a/packages/caller/src/checkLoginPacket.ts
+++ b/packages/caller/src/checkLoginPacket.ts
@@ -5,9 +5,29 @@
 const fixedBytes = 32;
 const bytesBetweenCharacterSetAndUser = 28;
 
-function skipToken(packet: InboundPacket, flags: number): void {
-    const isLengthCoded = (flags & protocolConstants.lengthCodedAuthentication) !== 0;
-    packet.skip(isLengthCoded ? Number(packet.readLengthCodedNumber()) : packet.readInt8());
+const largestShortLength = 0xfa;
+const longestLengthTag = 0xfe;
+const shortestLengthTag = 0xfc;
+
+/** Reads a length; NaN if its first byte is not one. `mysql2` prints a stack trace for such a byte. */
+function readLength(packet: InboundPacket): number {
+    const tag = packet.offset < packet.end ? packet.readInt8() : Number.NaN;
+    if (tag <= largestShortLength) return tag;
+    if (!(tag >= shortestLengthTag && tag <= longestLengthTag)) return Number.NaN;
+    packet.skip(-1);
+    return Number(packet.readLengthCodedNumber());
+}
+
+/** Whether the offset is inside the packet, or at its end. */
+function isInside(packet: InboundPacket): boolean {
+    return packet.offset <= packet.end;
+}
+
+function checkAttributes(packet: InboundPacket): boolean {
+    const end = readLength(packet) + packet.offset;
+    if (!(end <= packet.end)) return false;
+    while (packet.offset < end) packet.skip(readLength(packet));
+    return packet.offset === end;
 }
 
 /**
@@ -19,15 +39,14 @@
     const packet = received.clone();
     packet.offset = received.offset;
     const flags = packet.readInt32() & protocolConstants.capabilities;
-    if ((flags & protocolConstants.protocol41) === 0) return false;
+    if ((flags & protocolConstants.protocol41) === 0 || (flags & protocolConstants.secureConnection) === 0) return false;
     packet.skip(bytesBetweenCharacterSetAndUser);
     packet.readNullTerminatedString("latin1");
-    if (packet.offset > packet.end) return false;
-    skipToken(packet, flags);
-    if (!(packet.offset <= packet.end)) return false;
+    if (!isInside(packet)) return false;
+    packet.skip((flags & protocolConstants.lengthCodedAuthentication) === 0 ? packet.readInt8() : readLength(packet));
+    if (!isInside(packet)) return false;
     if ((flags & protocolConstants.connectWithDatabase) !== 0) packet.readNullTerminatedString("latin1");
     if ((flags & protocolConstants.pluginAuthentication) !== 0) packet.readNullTerminatedString("latin1");
     if ((flags & protocolConstants.connectionAttributes) === 0) return true;
-    const attributeBytes = packet.offset < packet.end ? Number(packet.readLengthCodedNumber()) : 0;
-    return packet.offset + attributeBytes <= packet.end;
+    return checkAttributes(packet);
 }
--- a/packages/caller/src/protocolConstants.ts
+++ b/packages/caller/src/protocolConstants.ts
@@ -15,6 +15,7 @@
     capabilities: longPassword | longFlag | connectWithDatabase | protocol41 | transactions | secureConnection | pluginAuthentication
         | connectionAttributes | lengthCodedAuthentication,
     connectWithDatabase,
+    secureConnection,
     pluginAuthentication,
     connectionAttributes,
     lengthCodedAuthentication,
