Replace a primary that refuses connections after 150 ms of silence

Cause: detection took 750 ms of a 790 ms gap, because silence of the primary was the only evidence, whether its server had ended or was only slow. Ruled out: a shorter limit for every silence, which would replace slow primaries; acting on the refusal alone, which would replace a primary that only the candidate cannot reach. Conclusion: a refused connection shortens the silence asked of the replicas to three heartbeats. The end-to-end test of a dead upstream now expects the code of a refused connection, which is as strict and more exact than before.

--- a/packages/bench/src/measure/fakeGroupPeer.ts
+++ b/packages/bench/src/measure/fakeGroupPeer.ts
@@ -5,6 +5,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { Diagnostics } from "@vanillarouter/routing/diagnostics";
 import { GroupPeer } from "@vanillarouter/routing/groupPeer";
 import { RecordedOutcome } from "@vanillarouter/routing/recordedOutcome";
@@ -18,12 +19,16 @@
 
 /** The control side of a fake upstream as a VM in a zone reaches it. */
 export class FakeGroupPeer implements GroupPeer {
+    public readonly disconnected = Signal.create<void>();
+
     private constructor(
         private readonly clock: Clock,
         private readonly network: FakeNetwork,
         private readonly zone: string,
         private readonly target: FakeUpstream,
-    ) {}
+    ) {
+        target.crashListeners.add(() => network.send(target.settings.zone, zone, () => this.disconnected.notifyAll()));
+    }
 
     public static create(clock: Clock, network: FakeNetwork, zone: string, target: FakeUpstream): FakeGroupPeer {
         return new FakeGroupPeer(clock, network, zone, target);
@@ -119,7 +124,7 @@
         };
         this.network.send(this.zone, zone, () => {
             if (this.target.failure === "crashed") {
-                answer(Err(createFailure(Diagnostics.connectionLost, RunOutcome.DidNotRun, this.upstream, "connection refused")));
+                answer(Err(createFailure(Diagnostics.connectionRefused, RunOutcome.DidNotRun, this.upstream)));
             }
             else if (this.target.failure === "none") body(answer);
         });
--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -151,7 +151,7 @@
         expectFailure(yield* peer.connect(other.settings, 200), Diagnostics.connectTimedOut.code, RunOutcome.DidNotRun);
         other.program.kill("SIGKILL");
         yield* sleep(clock, 100);
-        expectFailure(yield* peer.connect(other.settings, timeoutMs), Diagnostics.connectFailed.code, RunOutcome.DidNotRun);
+        expectFailure(yield* peer.connect(other.settings, timeoutMs), RoutingDiagnostics.connectionRefused.code, RunOutcome.DidNotRun);
     }, 1));
 
 test("statements beyond the slots wait, and a replica that lags refuses a floor until it has applied the entry", () =>
--- a/packages/daemon/src/observedGroupPeer.ts
+++ b/packages/daemon/src/observedGroupPeer.ts
@@ -1,6 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
+import { Signal } from "@vanillarouter/base/signal";
 import { GroupPeer } from "@vanillarouter/routing/groupPeer";
 import { RecordedOutcome } from "@vanillarouter/routing/recordedOutcome";
 import { TermAnswer } from "@vanillarouter/routing/termAnswer";
@@ -29,6 +30,10 @@
         return this.peer.upstream;
     }
 
+    public get disconnected(): Signal<void> | undefined {
+        return this.peer.disconnected;
+    }
+
     public *readStatus(timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
         const status = yield* this.peer.readStatus(timeoutMs);
         if (status.ok) this.observer.onStatus(status.val);
--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -30,6 +30,7 @@
     ownerChanged: message(1221, "this VM does not own upstream {0}", "Retried by the entry VM with the current owner."),
     linkFailed: message(1222, "link to VM {0} failed: {1}", "Retried by the entry VM if the outcome allows."),
     noConfiguration: message(1223, "this VM has no configuration yet", "Wait until it has one, or connect to another VM."),
+    connectionRefused: message(1226, "upstream {0} refuses connections", "Start the upstream's server; its group gets another primary meanwhile."),
     statementRejected: message(1224, "upstream {0} rejected the statement: {1}", "Correct the statement."),
     alreadyRan: message(1225, "request {0} already ran", "Do not send it again; read the data to see its effect."),
     floorNotConfirmed: message(
--- a/packages/routing/src/groupPeer.ts
+++ b/packages/routing/src/groupPeer.ts
@@ -1,6 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
+import { Signal } from "@vanillarouter/base/signal";
 import { Result } from "ts-results";
 import { RecordedOutcome } from "./recordedOutcome";
 import { TermAnswer } from "./termAnswer";
@@ -9,6 +10,8 @@
 /** What one upstream offers as a member of its database group. Every call ends within `timeoutMs` milliseconds. */
 export interface GroupPeer {
     readonly upstream: string;
+    /** Notified when the open connection ends without having been closed here; absent if that is not known. */
+    readonly disconnected?: Signal<void>;
     readStatus(timeoutMs: number): Operation<Result<UpstreamStatus, Failure>>;
     /** Asks it to accept a term; from then on it takes and confirms no entry of a lower one. */
     acceptTerm(term: number, timeoutMs: number): Operation<Result<TermAnswer, Failure>>;
--- a/packages/upstream/src/controlLink.ts
+++ b/packages/upstream/src/controlLink.ts
@@ -3,6 +3,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { Task } from "@vanillarouter/base/task";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
@@ -21,6 +22,8 @@
  * closes it, because a connection may have become silent while new ones work.
  */
 export class ControlLink {
+    /** Notified when the open connection ends without having been closed here. */
+    public readonly disconnected = Signal.create<void>();
     private client: MysqlClient | undefined;
     private opening: Task<Result<MysqlClient, Failure>> | undefined;
     private closed = false;
@@ -72,8 +75,15 @@
 
     private keep(result: Result<MysqlClient, Failure>): void {
         if (result.err) return;
-        this.client = result.val;
-        if (this.closed) result.val.close();
+        const client = result.val;
+        this.client = client;
+        if (this.closed) client.close();
+        else Task.start(this.reportLoss(client));
+    }
+
+    private *reportLoss(client: MysqlClient): Operation<void> {
+        yield* client.lost.wait();
+        if (!this.closed) this.disconnected.notifyAll();
     }
 
     private describeError(err: QueryError, sql: string): Failure {
--- a/packages/upstream/src/failoverCoordinator.test.ts
+++ b/packages/upstream/src/failoverCoordinator.test.ts
@@ -146,6 +146,33 @@
     assert.ok(group.members.every(member => member.acceptedTerm === 1));
 });
 
+/** Stops a primary, and returns the gap in acknowledged writes. */
+function measureGapOfStop(refusesConnections: boolean): number {
+    const { group, vms } = startGroup([0, 1]);
+    const stoppedAt = group.clock.now();
+    group.stopped.add("u1");
+    if (refusesConnections) group.refusing.add("u1");
+    advance(group, vms, 4000);
+    assert.deepEqual(findViolations(group), []);
+    assert.notEqual(group.primary?.id, "u1");
+    return findGap(group, stoppedAt);
+}
+
+test("a primary whose server has ended is replaced sooner than one that is silent, which may only be slow", () => {
+    const silentGapMs = measureGapOfStop(false);
+    const refusedGapMs = measureGapOfStop(true);
+    assert.ok(refusedGapMs < silentGapMs / 2, `gap ${refusedGapMs} ms when refused, ${silentGapMs} ms when silent`);
+    assert.ok(silentGapMs < medianGapTargetMs);
+});
+
+test("a primary that refuses the candidates but is heard by its replicas is left alone", () => {
+    const { group, candidates, vms } = startGroup([0, 1]);
+    group.refusing.add("u1");
+    advance(group, vms, 5000);
+    assert.equal(group.primary?.id, "u1");
+    assert.deepEqual(candidates.map(candidate => candidate.coordinator.lastElection), [undefined, undefined]);
+});
+
 test("without a majority there is no election, and the reason is stated", () => {
     const { group, candidates, vms } = startGroup([0]);
     group.stopped.add("u1").add("u2");
--- a/packages/upstream/src/failoverCoordinator.ts
+++ b/packages/upstream/src/failoverCoordinator.ts
@@ -99,7 +99,7 @@
 
     private *step(): Operation<void> {
         const statuses = this.watch.statuses;
-        const assessment = assessGroup(statuses, this.options.peers.length, failoverLimits.silenceLimitMs);
+        const assessment = assessGroup(statuses, this.options.peers.length, primary => this.readSilenceLimit(primary));
         const isPartial = assessment.condition === GroupCondition.MajorityUnreachable && !this.watch.isComplete(this.options.peers.length);
         if (isPartial) return;
         this.note(assessment, statuses);
@@ -110,6 +110,10 @@
         }
     }
 
+    private readSilenceLimit(primary: string): number {
+        return this.watch.isRefusing(primary) ? failoverLimits.refusedSilenceLimitMs : failoverLimits.silenceLimitMs;
+    }
+
     private *keepHealthy(assessment: GroupAssessment, statuses: readonly UpstreamStatus[]): Operation<void> {
         const { group, groups } = this.options;
         groups.learn({ group, term: assessment.term, primary: assessment.primary });
@@ -130,7 +134,8 @@
         const silent = statuses.some(status => !status.isPrimary && status.primarySilenceMs >= failoverLimits.suspicionMs);
         const incomplete = statuses.length < this.options.peers.length;
         const wasComplete = previous === undefined || previous.reachable === this.options.peers.length;
-        this.watch.setSuspicious(assessment.condition !== GroupCondition.Healthy || silent || (incomplete && wasComplete));
+        const isRefused = assessment.primary !== undefined && this.watch.isRefusing(assessment.primary);
+        this.watch.setSuspicious(assessment.condition !== GroupCondition.Healthy || silent || isRefused || (incomplete && wasComplete));
         if (previous?.condition === assessment.condition && previous.primary === assessment.primary && previous.term === assessment.term) return;
         const { condition, term, primary, reachable, silenceMs } = assessment;
         const fields = { group: this.options.group, condition, term, primary, reachable, silenceMs, code: this.obstacle?.code };
--- a/packages/upstream/src/failoverLimits.ts
+++ b/packages/upstream/src/failoverLimits.ts
@@ -12,6 +12,11 @@
     suspicionMs: 250,
     /** Silence of the primary on a replica from which it counts as lost. */
     silenceLimitMs: 700,
+    /**
+     * The same for a primary that refuses connections. Its server has ended, or is reached by no new work, so the silence
+     * only has to show that the replicas agree: three heartbeats of replication.
+     */
+    refusedSilenceLimitMs: 150,
     /** Delay of each further candidate. Longer than a whole election takes. */
     staggerMs: 400,
     /** Time for the candidate of an open term to finish before another one starts. */
--- a/packages/upstream/src/mysqlClient.ts
+++ b/packages/upstream/src/mysqlClient.ts
@@ -4,17 +4,21 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { Connection, createConnection, QueryError as LibraryError } from "mysql2";
 import { Socket } from "node:net";
+import { constants } from "node:os";
 import { Err, Ok, Result } from "ts-results";
 import { convertResult } from "./convertResult";
 import { Diagnostics } from "./diagnostics";
 import { QueryError } from "./queryError";
 import { UpstreamCredentials } from "./upstreamCredentials";
 
+const connectionRefused = -constants.errno.ECONNREFUSED;
 const tooManyConnections = 1040;
 const accessDenied = 1045;
 /** Errors after which the server closes the connection and the fate of the statement is open: shutdown, network errors. */
@@ -27,10 +31,12 @@
 export class MysqlClient {
     private open = true;
     private readonly waiting = new Set<(err: QueryError) => void>();
+    /** Notified when the connection ends without `close`. */
+    public readonly lost = Signal.create<void>();
 
     private constructor(private readonly connection: Connection) {
-        connection.on("error", (err: LibraryError) => this.fail(err.message, err.errno));
-        connection.on("end", () => this.fail("the upstream closed the connection"));
+        connection.on("error", (err: LibraryError) => this.lose(err.message, err.errno));
+        connection.on("end", () => this.lose("the upstream closed the connection"));
     }
 
     /** Connects and logs in. Fails with code 1300 to 1303; nothing has run in any of these cases. */
@@ -75,6 +81,7 @@
     }
 
     private static describeConnectError(upstream: ServerAddress, credentials: UpstreamCredentials, err: QueryError): Failure {
+        if (err.errno === connectionRefused) return createFailure(RoutingDiagnostics.connectionRefused, RunOutcome.DidNotRun, upstream.id);
         if (err.errno === tooManyConnections) return createFailure(Diagnostics.tooManyConnections, RunOutcome.DidNotRun, upstream.id);
         if (err.errno === accessDenied) return createFailure(Diagnostics.accessDenied, RunOutcome.DidNotRun, upstream.id, credentials.user);
         return createFailure(Diagnostics.connectFailed, RunOutcome.DidNotRun, upstream.id, `${upstream.host}:${upstream.port}`, err.message);
@@ -134,6 +141,12 @@
         return { rejected: !isLost, handedOver: true, errno, message: err.message };
     }
 
+    private lose(message: string, errno = 0): void {
+        const wasOpen = this.open;
+        this.fail(message, errno);
+        if (wasOpen) this.lost.notifyAll();
+    }
+
     private fail(message: string, errno = 0): void {
         if (!this.open) return;
         this.open = false;
--- a/packages/upstream/src/mysqlGroupPeer.ts
+++ b/packages/upstream/src/mysqlGroupPeer.ts
@@ -4,6 +4,7 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
@@ -41,6 +42,10 @@
         return new MysqlGroupPeer(settings, credentials, clock);
     }
 
+    public get disconnected(): Signal<void> {
+        return this.link.disconnected;
+    }
+
     public readStatus(timeoutMs: number): Operation<Result<UpstreamStatus, Failure>> {
         return this.callForStatus("CALL vr_status()", timeoutMs);
     }
--- a/packages/upstream/src/simulatedGroup.test.ts
+++ b/packages/upstream/src/simulatedGroup.test.ts
@@ -9,6 +9,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { Signal } from "@vanillarouter/base/signal";
+import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
 import { GroupPeer } from "@vanillarouter/routing/groupPeer";
 import { TermAnswer } from "@vanillarouter/routing/termAnswer";
@@ -98,6 +99,8 @@
     /** Blocked directions as `from>to`. */
     public readonly blocked = new Set<string>();
     public readonly stopped = new Set<string>();
+    /** Upstreams that refuse connections of VMs. */
+    public readonly refusing = new Set<string>();
     public lossRate = 0;
     private requests = 0;
 
@@ -137,6 +140,7 @@
     public heal(): void {
         this.blocked.clear();
         this.stopped.clear();
+        this.refusing.clear();
         this.lossRate = 0;
     }
 
@@ -222,8 +226,10 @@
                 vm.startTimer(timeoutMs, () => settle(Err(createFailure(Diagnostics.callTimedOut, RunOutcome.Unknown, member.id, "call", timeoutMs))));
                 if (this.passes(vm.name, member.id)) {
                     this.clock.startTimer(latencyMs, () => {
-                        if (this.stopped.has(member.id)) return;
-                        const result = body();
+                        const isRefused = this.refusing.has(member.id);
+                        if (this.stopped.has(member.id) && !isRefused) return;
+                        const refusal = createFailure(RoutingDiagnostics.connectionRefused, RunOutcome.DidNotRun, member.id);
+                        const result = isRefused ? Err(refusal) : body();
                         if (this.passes(member.id, vm.name)) this.clock.startTimer(latencyMs, () => vm.run(() => settle(result)));
                     });
                 }
--- a/packages/upstream/src/upstreamWatch.ts
+++ b/packages/upstream/src/upstreamWatch.ts
@@ -4,6 +4,7 @@
 import { RandomSource } from "@vanillarouter/base/randomSource";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
+import { Diagnostics } from "@vanillarouter/routing/diagnostics";
 import { GroupPeer } from "@vanillarouter/routing/groupPeer";
 import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
 import { failoverLimits } from "./failoverLimits";
@@ -16,6 +17,7 @@
     private readonly hurry = Signal.create<void>();
     private suspicious = false;
     private readonly asked = new Set<string>();
+    private readonly refusing = new Set<string>();
     private forgottenAt = -1;
 
     private constructor(private readonly clock: Clock, private readonly random: RandomSource, private readonly pollFactor: number) {}
@@ -31,6 +33,11 @@
         return [...this.latest.values()].filter(entry => entry.askedAt >= oldest).map(entry => entry.status);
     }
 
+    /** Whether an upstream refused the last connection, which a live server that is merely slow or cut off does not do. */
+    public isRefusing(upstream: string): boolean {
+        return this.refusing.has(upstream);
+    }
+
     /** Whether every upstream has answered, or failed to, since the states were last dropped. */
     public isComplete(size: number): boolean {
         return this.asked.size >= size;
@@ -58,12 +65,19 @@
             const result = yield* peer.readStatus(failoverLimits.statusTimeoutMs);
             if (result.ok && askedAt >= this.forgottenAt) this.latest.set(peer.upstream, { status: result.val, askedAt });
             if (result.err) this.latest.delete(peer.upstream);
+            if (result.err && result.val.code === Diagnostics.connectionRefused.code) this.refusing.add(peer.upstream);
+            else this.refusing.delete(peer.upstream);
             if (askedAt >= this.forgottenAt) this.asked.add(peer.upstream);
             this.updated.notifyAll();
-            yield* race([sleep(this.clock, this.drawPause()), this.hurry.wait()]);
+            yield* race(this.listWakeUps(peer));
         }
     }
 
+    private listWakeUps(peer: GroupPeer): readonly Operation<void>[] {
+        const wakeUps = [sleep(this.clock, this.drawPause()), this.hurry.wait()];
+        return peer.disconnected === undefined ? wakeUps : [...wakeUps, peer.disconnected.wait()];
+    }
+
     private drawPause(): number {
         const pauseMs = this.suspicious ? failoverLimits.suspiciousPollMs : failoverLimits.pollMs * this.pollFactor;
         return pauseMs * (0.75 + 0.5 * this.random.next());
