Learn shares of large classes in full

Cause: with headroom the learned demands exceeded the upstream, and the division capped the largest class below its mean demand. Headroom now shrinks when demands nearly fill the upstream.

--- a/packages/routing/src/ordinaryShares.ts
+++ b/packages/routing/src/ordinaryShares.ts
@@ -153,7 +153,13 @@
     private updateLearning(now: number): void {
         const learning = [...this.classes.values()].filter(entry => !entry.isLearned);
         if (learning.length === 0) return;
-        const parts = divideFairly(learning.map(entry => entry.recent.readCorrected(now) * headroom), this.measureUnclaimed());
+        const unclaimed = this.measureUnclaimed();
+        const demands = learning.map(entry => entry.recent.readCorrected(now));
+        const total = sum(demands);
+        // Headroom of one class must not cost another one its mean demand, unless demand exceeds the upstream by far.
+        const room = unclaimed / Math.max(total, Number.MIN_VALUE);
+        const factor = room < 1 / headroom ? headroom : Math.min(headroom, Math.max(1, room));
+        const parts = divideFairly(demands.map(demand => demand * factor), unclaimed);
         learning.forEach((entry, index) => {
             entry.share = parts[index]!;
             entry.isLearned = now - entry.startedAt >= learningMs;
--- a/packages/routing/src/overload.test.ts
+++ b/packages/routing/src/overload.test.ts
@@ -51,6 +51,7 @@
     ["meethi restocks x10", "restocks"],
     ["meethi restocks x10 from the start", "restocks"],
     ["racja orders ramp x10", "orders"],
+    ["racja uneven and orders x10", "orders"],
     ["meethi restocks alternate x3", "restocks"],
 ];
 
--- a/packages/routing/src/overloadScenarios.ts
+++ b/packages/routing/src/overloadScenarios.ts
@@ -63,6 +63,9 @@
 
 const fromStart = (capacities: number): Partial<ExperimentClass> => ({ demandAt: () => capacities });
 
+/** One class has more than an equal part of the slot time in ordinary use. */
+const uneven = replace(replace(replace(racja, "orders", { ordinary: 0.1 }), "reconciliation", { ordinary: 0.5 }), "catalogue", { ordinary: 0.15 });
+
 /** The loads on one upstream that schedulers are measured with, by name: slots and classes. */
 export const OverloadScenarios: Readonly<Record<string, { readonly slots: number; readonly classes: readonly ExperimentClass[]; }>> = {
     "racja ordinary": { slots: 5, classes: racja },
@@ -82,6 +85,9 @@
     "racja after orders x10": { slots: 5, classes: surgeBefore(racja, "orders", 10) },
     "racja quiet start and orders x10": { slots: 5, classes: surge(quietStart(racja), "orders", 10) },
     "racja slow catalogue x10": { slots: 5, classes: replace(surge(racja, "catalogue", 10), "catalogue", { meanServiceMs: 40 }) },
+    "racja uneven and orders x10": { slots: 5, classes: surge(uneven, "orders", 10) },
+    "racja uneven and catalogue x10": { slots: 5, classes: surge(uneven, "catalogue", 10) },
+    "racja full and orders x10": { slots: 5, classes: surge(replace(racja, "reconciliation", { ordinary: 0.5 }), "orders", 10) },
     "meethi busy and restocks x10": { slots: 2, classes: surge(scale(meethi, 1.3), "restocks", 10) },
     "meethi restocks alternate x3": { slots: 2, classes: alternate(meethi, "restocks", 3) },
     "meethi after restocks x10": { slots: 2, classes: surgeBefore(meethi, "restocks", 10) },
