Estimate the wait of a limited class from what it is entitled to

Cause: a class just beyond its credit counted the whole queue of a surging class of a higher rank as work ahead, at its own small rate, and was refused, although credit comes back while it waits. Its wait is now bounded by its own queue and debt at its entitlement.

--- a/packages/routing/src/classPriority.ts
+++ b/packages/routing/src/classPriority.ts
@@ -18,6 +18,11 @@
         return new ClassPriority(shares, overload);
     }
 
+    /** Whether ordinary shares decide about a class now. */
+    public isLimited(one: ScheduledClass): boolean {
+        return this.overload.isOverloaded && (one.rank !== Rank.Urgent || this.overload.isUrgentOverloaded);
+    }
+
     /** 0: by rank alone or within the ordinary share; 1: in excess of the share during an overload. */
     public readLevel(one: ScheduledClass): number {
         return this.isLimited(one) && this.shares.readCredit(one.name) <= 0 ? 1 : 0;
@@ -44,9 +49,4 @@
         const byCredit = this.readCredit(firstClass) - this.readCredit(secondClass);
         return byCredit !== 0 ? byCredit > 0 : first.req.deadline < second.req.deadline;
     }
-
-    /** Whether ordinary shares decide about a class now. */
-    private isLimited(one: ScheduledClass): boolean {
-        return this.overload.isOverloaded && (one.rank !== Rank.Urgent || this.overload.isUrgentOverloaded);
-    }
 }
--- a/packages/routing/src/ordinaryShares.ts
+++ b/packages/routing/src/ordinaryShares.ts
@@ -106,6 +106,13 @@
         return entry.credit / this.measureBurst(entry);
     }
 
+    /** Slot time by which a class is in excess of its share, in milliseconds. */
+    public readDebt(className: string): number {
+        const entry = this.obtain(className);
+        this.accrue(entry);
+        return Math.max(0, -entry.credit);
+    }
+
     /** Charges a class for slot time in milliseconds; a negative amount gives back what was charged too much. */
     public charge(className: string, costMs: number): void {
         const entry = this.obtain(className);
--- a/packages/routing/src/waitEstimate.ts
+++ b/packages/routing/src/waitEstimate.ts
@@ -50,7 +50,14 @@
             if (order < 0) work += other.queue.queuedWorkMs;
             else if (goesFirst) work += other.queue.measureWorkDueBy(ticket.req.deadline);
         }
-        return work / this.estimateRate(state) > slackMs;
+        return Math.min(work / this.estimateRate(state), this.measureEntitledWait(ticket, state)) > slackMs;
+    }
+
+    /** Wait in which a class gets to a new ticket with what it is entitled to, whatever other classes do, in milliseconds. */
+    private measureEntitledWait(ticket: SlotTicket, state: ScheduledClass): number {
+        if (!this.priority.isLimited(state)) return Infinity;
+        const own = state.queue.measureWorkBefore(ticket.req.franchisee, ticket.req.deadline) + this.shares.readDebt(state.name);
+        return own / this.shares.readEntitlement(state.name) + this.measureResidual() / this.slots;
     }
 
     /** Whether a new ticket would wait longer than `slackMs` in the order of ranks, which shows an overload. */
