--- a/packages/routing/src/entryService.test.ts
+++ b/packages/routing/src/entryService.test.ts
@@ -103,6 +103,22 @@
     assert.ok(bed.vms[0]!.openSession().attach({ token }).ok);
 });
 
+test("P1: of several tokens, one that leaves floors out keeps the session from reading below them", () => {
+    const bed = EntryTestBed.create(1);
+    const lost = bed.vms[0]!.openSession();
+    lost.attach({ name: "s" });
+    const partial = lost.token;
+    const complete = bed.vms[0]!.openSession().token;
+    assert.ok(bed.run(bed.vms[0]!.openSession().execute(bed.makeRequest("orders", aWrite))).ok);
+    upstreams.forEach(upstream => bed.group.lagMs.set(upstream, 60_000));
+    for (const tokens of [[partial, complete], [complete, partial]]) {
+        const session = bed.vms[0]!.openSession();
+        tokens.forEach(token => session.attach({ token }));
+        const answer = bed.run(session.execute(bed.makeRequest("catalogue", aRead)));
+        assert.ok(answer.ok && Number(answer.val.result.rows[0]![2]) === bed.group.last.position);
+    }
+});
+
 /** Runs concurrent statements; returns whether each answered one got the answer to its own text. */
 function matchesAnswers(faults: readonly FakeFault[], isNaive: boolean): boolean {
     const bed = EntryTestBed.create(1);
--- a/packages/routing/src/entrySession.ts
+++ b/packages/routing/src/entrySession.ts
@@ -72,7 +72,8 @@
         if (!isOther) return Ok.EMPTY;
         this.name = options.name;
         this.floors.clear();
-        this.floors.setComplete(options.token !== undefined && floors.isComplete);
+        if (options.token === undefined) this.floors.noteMissingToken();
+        else this.floors.noteToken(!floors.isComplete);
         for (const [group, floor] of floors.entries) this.floors.raise(group, floor, now);
         return Ok.EMPTY;
     }
--- a/packages/routing/src/sessionFloors.ts
+++ b/packages/routing/src/sessionFloors.ts
@@ -5,7 +5,8 @@
 export class SessionFloors {
     private readonly floors = new Map<string, LogPosition>();
     private readonly knownSince = new Map<string, number>();
-    private complete = true;
+    private hasToken = true;
+    private hasPartialToken = false;
     private changes = 0;
 
     private constructor() {}
@@ -21,7 +22,7 @@
 
     /** Whether a group without a floor has none, as opposed to one that this VM does not know. */
     public get isComplete(): boolean {
-        return this.complete;
+        return this.hasToken && !this.hasPartialToken;
     }
 
     public get entries(): ReadonlyMap<string, LogPosition> {
@@ -39,7 +40,7 @@
 
     /** Whether the floor of a group has to be asked of its primary before the session's first read. */
     public needsConfirmation(group: string): boolean {
-        return !this.complete && !this.floors.has(group);
+        return !this.isComplete && !this.floors.has(group);
     }
 
     /** Raises the floor of a group; a lower entry changes nothing. */
@@ -51,17 +52,24 @@
         this.changes++;
     }
 
-    /** States whether all floors that the session has are listed here. */
-    public setComplete(complete: boolean): void {
-        if (this.complete === complete) return;
-        this.complete = complete;
+    /** States that the session brought no token, so that it may have floors that this VM does not know. */
+    public noteMissingToken(): void {
+        this.hasToken = false;
+        this.changes++;
+    }
+
+    /** States that the session brought a token. Of several tokens, one that left floors out is enough to miss some. */
+    public noteToken(isPartial: boolean): void {
+        this.hasToken = true;
+        this.hasPartialToken ||= isPartial;
         this.changes++;
     }
 
     public clear(): void {
         this.floors.clear();
         this.knownSince.clear();
-        this.complete = true;
+        this.hasToken = true;
+        this.hasPartialToken = false;
         this.changes++;
     }
 }
--- a/packages/routing/src/sessionTokenCodec.ts
+++ b/packages/routing/src/sessionTokenCodec.ts
@@ -95,7 +95,7 @@
         if (!timingSafeEqual(this.sign(body), bytes.subarray(0, signatureBytes))) return false;
         if ((body[0]! & ~partialFlag) !== formatVersion) return false;
         this.mergeFloors(TokenReader.create(body), floors, now);
-        floors.setComplete((body[0]! & partialFlag) === 0);
+        floors.noteToken((body[0]! & partialFlag) !== 0);
         return true;
     }
 
