Test that a refused question proves nothing and that the retry budget binds

Two changes of the code passed the tests before: trusting any refusal of resolveOutcome as "did not run", and an unlimited budget. Both fail now.

--- a/packages/routing/src/entryService.test.ts
+++ b/packages/routing/src/entryService.test.ts
@@ -33,7 +33,7 @@
     bed.group.nextFault = () => faults[index++] ?? FakeFault.None;
 }
 
-const anyFault = fc.constantFrom(FakeFault.None, FakeFault.Refuse, FakeFault.LoseRequest, FakeFault.LoseReply, FakeFault.RunLate);
+const anyFault = fc.constantFrom(FakeFault.None, FakeFault.Refuse, FakeFault.Shed, FakeFault.LoseRequest, FakeFault.LoseReply, FakeFault.RunLate);
 const faultLists = fc.array(anyFault, { minLength: 1, maxLength: 8 });
 
 interface Step {
@@ -283,6 +283,15 @@
     assert.ok(ours.attempts <= 2 + 20 / 50, `${ours.attempts} attempts per write`);
 });
 
+test("retry budget: an owner that refuses everything gets no more than the budget on top of the first attempts", () => {
+    const bed = EntryTestBed.create(1);
+    bed.group.nextFault = () => FakeFault.Refuse;
+    const tasks = Array.from({ length: 50 }, () => Task.start(bed.vms[0]!.openSession().execute(bed.makeRequest("orders", aWrite))));
+    bed.clock.advance(1000);
+    for (const task of tasks) task.deliver(result => assert.ok(result.err && result.val.outcome === RunOutcome.DidNotRun), () => assert.fail("a write failed"));
+    assert.ok(bed.group.attempts.get("u1")! <= 50 + 20, `${bed.group.attempts.get("u1")} attempts`);
+});
+
 test("P3: a transaction stays on one owner, and a COMMIT whose answer is lost is resolved by the group", () => {
     for (const fault of [FakeFault.None, FakeFault.LoseReply, FakeFault.LoseRequest]) {
         const bed = EntryTestBed.create(1);
--- a/packages/routing/src/testing/fakeFault.ts
+++ b/packages/routing/src/testing/fakeFault.ts
@@ -3,6 +3,8 @@
     None,
     /** Refused, truly without an effect. */
     Refuse,
+    /** Shed because of an overload. */
+    Shed,
     LoseRequest,
     LoseReply,
     /** The call fails at once and the request runs later. */
--- a/packages/routing/src/testing/fakeGroup.ts
+++ b/packages/routing/src/testing/fakeGroup.ts
@@ -103,6 +103,7 @@
         const fault = this.nextFault();
         yield* sleep(this.clock, roundTripMs / 2);
         if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.linkFailed, RunOutcome.DidNotRun, "vm", "refused"));
+        if (fault === FakeFault.Shed) return Err(createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, req.timeoutMs));
         if (fault === FakeFault.LoseRequest) return this.lose();
         if (fault === FakeFault.RunLate) {
             this.clock.startTimer(lateRunMs, () => this.run(req));
