--- a/packages/vm/src/roleAssignment.ts
+++ b/packages/vm/src/roleAssignment.ts
@@ -11,6 +11,8 @@
 }
 
 const relayCount = 3;
+/** VMs that watch a group. Each asks all of its upstreams for their state, so more of them would cost more than they help. */
+const coordinatorCount = 3;
 /** The owner and the VMs that would follow it. */
 const orderLength = 3;
 const maxCachedOrders = 100_000;
@@ -56,7 +58,8 @@
         const zoneIndex = self === undefined ? -1 : zones.indexOf(self.vm.zone);
         if (zoneIndex < 0) return undefined;
         const place = this.order(`group:${group.name}`, zones[zoneIndex]!).findIndex(member => member.vm.id === this.selfId);
-        return place < 0 ? undefined : place * zones.length + zoneIndex;
+        const order = place * zones.length + zoneIndex;
+        return place < 0 || order >= coordinatorCount ? undefined : order;
     }
 
     /**
