--- a/packages/daemon/src/settingsSchema.ts
+++ b/packages/daemon/src/settingsSchema.ts
@@ -1,5 +1,6 @@
 import { isIP } from "node:net";
 import { z } from "zod";
+import { checkClusterFiles } from "./checkClusterFiles";
 import { checkPemFile } from "./checkPemFile";
 
 const minSecretLength = 16;
@@ -36,7 +37,8 @@
         port,
         maxConnections: z.number().int().min(1).max(200_000).default(10_000),
         maxStatementBytes: z.number().int().min(1024).max(16_000_000).default(1_048_576),
-        loginTimeoutMs: timeMs.min(100).default(10_000),
+        /** `mysql2` ends a connection that stays silent for 10 s by itself. */
+        loginTimeoutMs: z.number().int().min(100).max(10_000).default(10_000),
     }),
     administration: z.strictObject({ host: address, port, credential: secret }),
     /** Secrets and certificates that all VMs share. */
@@ -45,6 +47,8 @@
         certificateFile: pemFile("certificate"),
         privateKeyFile: pemFile("private key"),
         authorityFile: pemFile("certificate"),
+    }).superRefine((files, context) => {
+        for (const [key, message] of Object.entries(checkClusterFiles(files))) context.addIssue({ code: "custom", path: [key], message });
     }),
     platform: z.strictObject({ host: z.string().min(1), port: remotePort, service: name.optional() }),
     /** Account of the proxy at all upstreams. */
--- a/packages/routing/src/upstreamOwner.ts
+++ b/packages/routing/src/upstreamOwner.ts
@@ -1,4 +1,5 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
@@ -13,6 +14,7 @@
 import { Diagnostics } from "./diagnostics";
 import { FreshnessProver } from "./freshnessProver";
 import { GroupPeer } from "./groupPeer";
+import { IdleCheck } from "./idleCheck";
 import { OutcomeRequest } from "./outcomeRequest";
 import { OutcomeResolver } from "./outcomeResolver";
 import { OwnerAnswer } from "./ownerAnswer";
@@ -95,10 +97,15 @@
         return this.settings.upstream.id;
     }
 
+    public get group(): DatabaseGroup {
+        return this.settings.group;
+    }
+
     /** The background work of the role. Ends when `drain` is done. */
     public *run(): Operation<void> {
         try {
             this.tasks.start(this.pool.run());
+            this.tasks.start(IdleCheck.create(this.context.clock, this.pool).run());
             this.tasks.start(this.context.watch.run());
             this.tasks.start(this.prover.run());
             this.context.confirmation.start(this.tasks);
