--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -33,7 +33,6 @@
 import { DaemonView } from "./daemonView";
 import { Diagnostics } from "./diagnostics";
 import { ObservedUpstreamPeer } from "./observedUpstreamPeer";
-import { OwnerRoles } from "./ownerRoles";
 
 interface DaemonOptions {
     readonly settings: DaemonSettings;
@@ -49,12 +48,12 @@
     readonly groups: KnownGroupViews;
     readonly owners: OwnerHost;
     readonly coordinators: CoordinatorHost;
-    readonly ownerRoles: OwnerRoles;
     readonly entry: EntryService;
     readonly listener: CallerListener;
 }
 
 const roleCheckIntervalMs = 250;
+const fullRoleCheckMs = 10_000;
 const readyCheckMs = 5_000;
 
 /** One VM of the system: every role, wired together. */
@@ -136,7 +135,7 @@
         const tokenKey = createHmac("sha256", settings.cluster.key).update("session token").digest();
         const entry = EntryService.create({ clock, random, configuration, groups, owners: node.owners, tokenKey });
         const listener = CallerListener.create({ configuration, entry, clock, logger, counters: this.counters, limits: settings.caller });
-        this.parts = { groups, owners, coordinators, ownerRoles: OwnerRoles.create(node, owners), entry, listener };
+        this.parts = { groups, owners, coordinators, entry, listener };
         return { owner: owners, groups, rates: { collect: () => owners.exportRates(), learn: rates => owners.learnRates(rates) } };
     }
 
@@ -152,13 +151,24 @@
         }
     }
 
-    /** Starts and ends roles when membership or configuration change, and regularly, as roles return after a pause. */
+    /**
+     * Starts and ends roles when membership or configuration change, or roles were lost or returned, as after a pause. All
+     * groups are looked at each time, which costs milliseconds at thousands of groups, so it is not done without a cause.
+     */
     private *followRoles(node: VmNode, parts: Parts): Operation<never> {
+        const { clock } = this.options;
+        let isChanged = true;
+        let held = false;
+        let updatedAt = clock.now();
         for (;;) {
-            parts.ownerRoles.update();
-            parts.coordinators.update();
-            const wait = sleep(this.options.clock, roleCheckIntervalMs);
-            yield* race<unknown>([node.owners.changed.wait(), node.configuration.changed.wait(), wait]);
+            const isHeld = node.checkRoles() === undefined;
+            if (isChanged || isHeld !== held || clock.now() - updatedAt >= fullRoleCheckMs) {
+                held = isHeld;
+                updatedAt = clock.now();
+                parts.owners.setOwned(node.owners.listOwned().map(upstream => upstream.id));
+                parts.coordinators.update();
+            }
+            isChanged = yield* race([waitForChange(node), returnFalseAfter(clock, roleCheckIntervalMs)]);
         }
     }
 
@@ -241,6 +251,16 @@
     }
 }
 
+function* waitForChange(node: VmNode): Operation<boolean> {
+    yield* race<unknown>([node.owners.changed.wait(), node.configuration.changed.wait()]);
+    return true;
+}
+
+function* returnFalseAfter(clock: Clock, delayMs: number): Operation<boolean> {
+    yield* sleep(clock, delayMs);
+    return false;
+}
+
 function* listen(
     address: { readonly host: string; readonly port: number; },
     start: (host: string, port: number) => Promise<number>,
