--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -14,6 +14,8 @@
 const host = "127.0.0.1";
 const children: ChildProcess[] = [];
 const daemonFile = join(__dirname, "daemonMain.js");
+/** Longer than an entry VM takes to notice that the owner of a statement in flight has changed. */
+const slowStatementMs = 80;
 const passwordHash = createHash("sha1").update(createHash("sha1").update("secret").digest()).digest("hex");
 const insert = "INSERT INTO orders (ref, franchisee, item, quantity, note) VALUES ('REF', 'f1', 'item1', 2, NULL)";
 
@@ -126,6 +128,11 @@
     return statements;
 }
 
+async function setStatementTime(statementMs: number): Promise<void> {
+    const body = JSON.stringify({ statementMs });
+    for (const { controlPort } of upstreams) await fetch(`http://${host}:${controlPort}/faults`, { method: "PUT", body });
+}
+
 before(async () => {
     for (const [name, text] of Object.entries(createTestCertificates())) writeFileSync(join(folder, `${name}.pem`), text);
     const store = start(join(__dirname, "..", "..", "standins", "dist", "platformMain.js"), []);
@@ -247,8 +254,10 @@
     await eventually(async () => assert.equal((await fetch(`${leaving.admin}/health`)).status, 503, "the load balancer is told before callers are"));
     const exited = once(leaving.child, "exit");
     await new Promise(resolve => setTimeout(resolve, 800));
+    await setStatementTime(slowStatementMs);
     await transaction.query(insert.replace("REF", "part-2"));
     await transaction.query("COMMIT");
+    await setStatementTime(1);
     const [code] = await exited;
     await load;
     await new Promise(resolve => setTimeout(resolve, 500));
--- a/packages/routing/src/callerTransaction.ts
+++ b/packages/routing/src/callerTransaction.ts
@@ -75,7 +75,7 @@
         const refusal = this.findRefusal(request);
         if (refusal !== undefined) return failWith(refusal);
         const sequence = this.sequence++;
-        const result = yield* this.caller.watchCall(request, this.primary, (primary, timeoutMs) =>
+        const result = yield* this.caller.watchTransactionCall(request, this.primary, (primary, timeoutMs) =>
             primary.owner.executeInTransaction({
                 transactionId: this.id,
                 upstream: primary.upstream,
@@ -93,7 +93,7 @@
     /** Commits. A lost answer is asked of the group under the id of the transaction. */
     public *commit(request: AdmittedRequest, writes: EntryWrites): Operation<Result<OwnerAnswer, Failure>> {
         if (this.aborted) return this.refuseAborted();
-        const result = yield* this.caller.watchCall(
+        const result = yield* this.caller.watchTransactionCall(
             request,
             this.primary,
             (primary, timeoutMs) => primary.owner.endTransaction({ transactionId: this.id, upstream: primary.upstream, commit: true, timeoutMs }),
--- a/packages/routing/src/primaryCaller.ts
+++ b/packages/routing/src/primaryCaller.ts
@@ -84,9 +84,25 @@
 
     /** Makes one call and stops waiting when the primary or its owner has changed meanwhile. */
     public *watchCall<T>(request: AdmittedRequest, primary: KnownPrimary, call: PrimaryCall<T>): Operation<Result<T, Failure>> {
-        const { clock, finder } = this.context;
+        return yield* this.watch(request, primary, call, () => this.context.finder.hasMoved(request.group.name, primary));
+    }
+
+    /**
+     * Makes one call of a transaction and stops waiting when the primary has changed meanwhile. An owner that is leaving
+     * finishes the transactions that it has begun; one that is lost breaks the link.
+     */
+    public *watchTransactionCall<T>(request: AdmittedRequest, primary: KnownPrimary, call: PrimaryCall<T>): Operation<Result<T, Failure>> {
+        return yield* this.watch(request, primary, call, () => this.context.finder.isReplaced(request.group.name, primary));
+    }
+
+    private *watch<T>(
+        request: AdmittedRequest,
+        primary: KnownPrimary,
+        call: PrimaryCall<T>,
+        isHopeless: () => boolean,
+    ): Operation<Result<T, Failure>> {
+        const { clock } = this.context;
         const limitMs = request.deadline - clock.now();
-        const isHopeless = (): boolean => finder.hasMoved(request.group.name, primary);
         const timeoutMs = limitMs - measureReturnMargin(limitMs);
         const result = yield* watchOperation(clock, { limitMs, checkMs: moveCheckMs, isHopeless }, call(primary, timeoutMs));
         return result ?? failWith(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, Math.round(limitMs)));
--- a/packages/routing/src/primaryFinder.ts
+++ b/packages/routing/src/primaryFinder.ts
@@ -30,13 +30,18 @@
 
     /** Whether a newer term, another primary or another owner than `seen` is known. */
     public hasMoved(group: string, seen: KnownPrimary): boolean {
-        const view = this.groups.find(group);
-        if (view === undefined) return false;
-        if (view.term !== seen.term || view.primary !== seen.upstream) return true;
+        if (this.groups.find(group) === undefined) return false;
+        if (this.isReplaced(group, seen)) return true;
         const owner = this.owners.findOwner(seen.upstream);
         return owner !== undefined && owner !== seen.owner;
     }
 
+    /** Whether a newer term or another primary than `seen` is known. */
+    public isReplaced(group: string, seen: KnownPrimary): boolean {
+        const view = this.groups.find(group);
+        return view !== undefined && (view.term !== seen.term || view.primary !== seen.upstream);
+    }
+
     /** Takes over the group view that a failure carries. */
     public learn(failure: Failure): void {
         const view = findViewInFailure(failure);
