Keep a surging class of a high rank from spending unclaimed credit first

Cause, from a trace of measure: a surging class with a small share got most of the unclaimed slot time, saved half a second of it, and as the higher rank spent that ahead of lower ranks for 2 s. Unclaimed slot time is now saved for 50 ms, and a class with less than half of its credit goes after classes with more, whatever the ranks. The second cause: the smallest slack ever seen of an urgent request (2 ms) made every statement count as long; the mean slack of each class is used instead.

--- a/packages/routing/src/classPriority.ts
+++ b/packages/routing/src/classPriority.ts
@@ -6,6 +6,13 @@
 
 const rankOrder: Readonly<Record<Rank, number>> = { [Rank.Urgent]: 0, [Rank.Standard]: 1, [Rank.Background]: 2 };
 
+const excessLevel = 2;
+/**
+ * Credit below which a class is near the limit of its share. A surging class of a high rank gets there soon, and must not
+ * spend the rest of its credit ahead of the ordinary work of lower ranks.
+ */
+const nearLimitCredit = 0.5;
+
 /**
  * The order of classes. Without an overload it is the order of ranks. During an overload, classes within their ordinary
  * share go before the work of classes in excess of it. Urgent work counts as within its share as long as urgent demand as
@@ -23,9 +30,16 @@
         return this.overload.isOverloaded && (one.rank !== Rank.Urgent || this.overload.isUrgentOverloaded);
     }
 
-    /** 0: by rank alone or within the ordinary share; 1: in excess of the share during an overload. */
+    /** 0: by rank alone or well within the ordinary share; 1: near its limit; 2: in excess of it, during an overload. */
     public readLevel(one: ScheduledClass): number {
-        return this.isLimited(one) && this.shares.readCredit(one.name) <= 0 ? 1 : 0;
+        if (!this.isLimited(one)) return 0;
+        const credit = this.shares.readCredit(one.name);
+        if (credit <= 0) return excessLevel;
+        return credit < nearLimitCredit ? 1 : 0;
+    }
+
+    public isInExcess(one: ScheduledClass): boolean {
+        return this.readLevel(one) === excessLevel;
     }
 
     /** Credit that orders classes of one rank during an overload: a surging class has less left than an ordinary one. */
--- a/packages/routing/src/longStatementLimit.ts
+++ b/packages/routing/src/longStatementLimit.ts
@@ -1,5 +1,6 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Rank } from "@vanillarouter/base/rank";
+import { DecayingMean } from "./decayingMean";
 import { DecayingRate } from "./decayingRate";
 import { ServiceTimes } from "./serviceTimes";
 import { SlotTicket } from "./slotTicket";
@@ -19,7 +20,8 @@
  */
 export class LongStatementLimit {
     private readonly demand: DecayingRate;
-    private urgentSlackMs = Infinity;
+    /** Mean slack of each urgent class. A mean, as single requests arrive with little time left. */
+    private readonly slacks = new Map<string, DecayingMean>();
     private urgentSeenAt = -Infinity;
     private runningLong = 0;
 
@@ -34,16 +36,16 @@
     public noteArrival(ticket: SlotTicket): void {
         if (ticket.req.rank !== Rank.Urgent) return;
         const now = this.clock.now();
-        if (now - this.urgentSeenAt > urgentMemoryMs) this.urgentSlackMs = Infinity;
+        if (now - this.urgentSeenAt > urgentMemoryMs) this.slacks.clear();
         this.urgentSeenAt = now;
         this.demand.add(ticket.estimateMs, now);
-        this.urgentSlackMs = Math.min(this.urgentSlackMs, ticket.latestStart - ticket.req.arrivedAt);
+        this.recordSlack(ticket);
     }
 
     /** Whether a class's statements may take longer than urgent requests can wait. */
     public isLong(rank: Rank, times: ServiceTimes): boolean {
         if (rank === Rank.Urgent || this.clock.now() - this.urgentSeenAt > urgentMemoryMs) return false;
-        return times.highMs > this.urgentSlackMs * slackFraction;
+        return times.highMs > this.findSmallestSlack() * slackFraction;
     }
 
     public mayStart(rank: Rank, times: ServiceTimes): boolean {
@@ -58,6 +60,21 @@
         if (ticket.isLong) this.runningLong--;
     }
 
+    private recordSlack(ticket: SlotTicket): void {
+        let slack = this.slacks.get(ticket.req.className);
+        if (slack === undefined) {
+            slack = DecayingMean.create();
+            this.slacks.set(ticket.req.className, slack);
+        }
+        slack.record(ticket.latestStart - ticket.req.arrivedAt);
+    }
+
+    private findSmallestSlack(): number {
+        let smallest = Infinity;
+        for (const slack of this.slacks.values()) smallest = Math.min(smallest, slack.value);
+        return smallest;
+    }
+
     private countReservedSlots(): number {
         const wanted = Math.ceil(this.demand.read(this.clock.now()) * demandMargin);
         return Math.min(Math.max(wanted, 1), this.slots - 1);
--- a/packages/routing/src/ordinaryShares.ts
+++ b/packages/routing/src/ordinaryShares.ts
@@ -27,8 +27,9 @@
 const headroom = 1.25;
 /** Smallest share of a class that is in use, as part of the slot time. */
 const smallestFraction = 0.01;
-/** Slot time that a class may save up, as time at its rate, in milliseconds. */
-const burstMs = 500;
+/** Slot time that a class may save up, as time at its share and at its part of the unclaimed slot time, in milliseconds. */
+const shareBurstMs = 500;
+const unclaimedBurstMs = 50;
 
 function sum(values: readonly number[]): number {
     return values.reduce((total, value) => total + value, 0);
@@ -203,7 +204,8 @@
     }
 
     private measureBurst(entry: ClassShare): number {
-        return entry.entitlement * burstMs;
+        const claimed = Math.min(entry.entitlement, Math.max(entry.share, this.slots * smallestFraction));
+        return claimed * shareBurstMs + (entry.entitlement - claimed) * unclaimedBurstMs;
     }
 
     private accrue(entry: ClassShare): void {
--- a/packages/routing/src/refusalCache.ts
+++ b/packages/routing/src/refusalCache.ts
@@ -21,10 +21,10 @@
         return new RefusalCache();
     }
 
-    /** `level` is that of the ticket's class: 1 in excess of its ordinary share. */
-    public find(ticket: SlotTicket, level: number): Err<Failure> {
+    /** `isInExcess` tells whether the ticket's class is in excess of its ordinary share. */
+    public find(ticket: SlotTicket, isInExcess: boolean): Err<Failure> {
         const { className, deadline, arrivedAt } = ticket.req;
-        if (level > 0) return this.obtain(`share ${className}`, () => createFailure(Diagnostics.shareExceeded, RunOutcome.DidNotRun, className));
+        if (isInExcess) return this.obtain(`share ${className}`, () => createFailure(Diagnostics.shareExceeded, RunOutcome.DidNotRun, className));
         const target = Math.round(deadline - arrivedAt);
         return this.obtain(`target ${target}`, () => createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, target));
     }
