--- a/packages/routing/src/overload.test.ts
+++ b/packages/routing/src/overload.test.ts
@@ -52,6 +52,7 @@
     ["meethi restocks x10 from the start", "restocks"],
     ["racja orders ramp x10", "orders"],
     ["racja uneven and orders x10", "orders"],
+    ["racja sparse and orders x7", "orders"],
     ["meethi restocks alternate x3", "restocks"],
 ];
 
@@ -71,6 +72,17 @@
     });
 }
 
+test("overload: a surging urgent class does not spend the unclaimed slot time that it saved ahead of lower ranks", () => {
+    const { slots, classes } = OverloadScenarios["racja sparse and orders x7"]!;
+    const surging = classes.map(one => one.rank === Rank.Urgent ? { ...one, demandAt: () => 7 } : { ...one, targetMs: 500 });
+    const rates = { upstream: "a", slotTimeByClass: { orders: 600, reconciliation: 312 }, ageMs: 0 };
+    for (const seed of seeds) {
+        const experiment = OverloadExperiment.create(slots, surging, (clock, count) => SlotScheduler.create(clock, count, rates));
+        const service = readService(experiment.run(seed, 0, 3_000), "reconciliation");
+        assert.ok(service >= retainedTarget, `seed ${seed}: ${service}`);
+    }
+});
+
 test("overload: urgent demand that fits the upstream is answered in time during a surge of the least urgent class", () => {
     for (const seed of seeds) {
         const service = readService(runOurs("racja orders 0.8 and catalogue x10", seed), "orders");
--- a/packages/routing/src/overloadScenarios.ts
+++ b/packages/routing/src/overloadScenarios.ts
@@ -66,6 +66,12 @@
 /** One class has more than an equal part of the slot time in ordinary use. */
 const uneven = replace(replace(replace(racja, "orders", { ordinary: 0.1 }), "reconciliation", { ordinary: 0.5 }), "catalogue", { ordinary: 0.15 });
 
+/** A primary that executes few long writes: a class of a lower rank sends ten statements a second. */
+const sparse: readonly ExperimentClass[] = [
+    { ...orders, targetMs: 300, meanServiceMs: 15, ordinary: 0.1 },
+    { ...reconciliation, targetMs: 1_490, meanServiceMs: 25, ordinary: 0.05 },
+];
+
 /** The loads on one upstream that schedulers are measured with, by name: slots and classes. */
 export const OverloadScenarios: Readonly<Record<string, { readonly slots: number; readonly classes: readonly ExperimentClass[]; }>> = {
     "racja ordinary": { slots: 5, classes: racja },
@@ -88,6 +94,7 @@
     "racja uneven and orders x10": { slots: 5, classes: surge(uneven, "orders", 10) },
     "racja uneven and catalogue x10": { slots: 5, classes: surge(uneven, "catalogue", 10) },
     "racja full and orders x10": { slots: 5, classes: surge(replace(racja, "reconciliation", { ordinary: 0.5 }), "orders", 10) },
+    "racja sparse and orders x7": { slots: 5, classes: surge(sparse, "orders", 7) },
     "meethi busy and restocks x10": { slots: 2, classes: surge(scale(meethi, 1.3), "restocks", 10) },
     "meethi restocks alternate x3": { slots: 2, classes: alternate(meethi, "restocks", 3) },
     "meethi after restocks x10": { slots: 2, classes: surgeBefore(meethi, "restocks", 10) },
