--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -65,7 +65,7 @@
         connection.close();
     }));
 
-test("a request id runs once, and a rejected, fenced or too early statement did not run", () =>
+test("a request id runs once, rejected or too early statements did not run, and a replica of a newer term confirms nothing", () =>
     runWithGroup(function*(group, primary) {
         const connection = yield* connect(primary);
         const first = (yield* connection.write(insert, 1, "r1")).unwrap();
@@ -83,6 +83,9 @@
         const replica = peer.openGroupPeer(group.upstreams[1]!.settings);
         assert.equal((yield* replica.waitReceived(first.at, timeoutMs)).unwrap().acceptedTerm, 1);
         expectFailure(yield* replica.waitReceived({ term: 1, position: 99 }, 150), Diagnostics.callTimedOut.code, RunOutcome.Unknown);
+        assert.equal((yield* replica.acceptTerm(2, timeoutMs)).unwrap().accepted, true);
+        const fenced = yield* replica.waitReceived(first.at, timeoutMs);
+        expectFailure(fenced, RoutingDiagnostics.termReplaced.code, RunOutcome.Unknown);
         replica.close();
         control.close();
         connection.close();
--- a/packages/upstream/src/failoverCoordinator.test.ts
+++ b/packages/upstream/src/failoverCoordinator.test.ts
@@ -249,7 +249,11 @@
 }
 
 test("P2 fails for a coordinator that promotes the first replica to answer, without a majority", () => {
-    const result = fc.check(fc.property(fc.nat(), faults, (seed, events) => runNaiveScenario(seed, events).length === 0), { seed: 7, numRuns: 60 });
+    const result = fc.check(fc.property(fc.nat(), faults, (seed, events) => runNaiveScenario(seed, events).length === 0), {
+        seed: 7,
+        numRuns: 60,
+        endOnFailure: true,
+    });
     assert.equal(result.failed, true);
 });
 
