--- a/packages/caller/src/connectionState.ts
+++ b/packages/caller/src/connectionState.ts
@@ -5,24 +5,27 @@
 import { CallerSession } from "@vanillarouter/routing/callerSession";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { Err, Ok, Result } from "ts-results";
-import { addHintValue } from "./addHintValue";
 import { CallerVariables } from "./callerVariables";
 import { Diagnostics } from "./diagnostics";
 import { Hint } from "./hint";
+import { HintDraft } from "./hintDraft";
+import { mergeHints } from "./mergeHints";
+import { SessionSwitch } from "./sessionSwitch";
 
 const variablePrefix = "vr_";
-const tokenSeparator = ",";
+const noHint: Hint = HintDraft.create();
 const attributeKeys = ["class", "franchisee", "session", "token", "deadline"];
 const wordVariables = new Set(["once", "repeatable"]);
 const variableKeys = new Set([...attributeKeys, "req", ...wordVariables]);
 
 /** What a logged-in caller connection has selected and set. */
 export class ConnectionState implements CallerVariables {
-    private attributeHint: Hint = {};
-    private variableHint: Hint = {};
+    private attributeHint: Hint = noHint;
+    private variableHint: Hint = noHint;
+    /** What was said of the connection as a whole. */
+    private connectionHint: Hint = noHint;
     private readonly variables = new Map<string, string>();
-    private attachedName: string | undefined;
-    private attachedToken: string | undefined;
+    private readonly sessions: SessionSwitch;
 
     private constructor(
         public readonly user: string,
@@ -31,7 +34,9 @@
         private readonly session: CallerSession,
         private readonly configuration: ConfigurationSource,
         private readonly selectEncoding: (name: string) => Result<void, Failure>,
-    ) {}
+    ) {
+        this.sessions = SessionSwitch.create(session);
+    }
 
     /** `selectEncoding` changes the character set of the connection. */
     public static create(
@@ -54,14 +59,15 @@
 
     /** Takes the values of connection attributes such as `vr_class`. */
     public setAttributes(attributes: Readonly<Record<string, string>>): Result<void, Failure> {
+        const hint = HintDraft.create();
         for (const key of attributeKeys) {
             const value = attributes[variablePrefix + key];
             if (value === undefined || value === "") continue;
-            const added = addHintValue(this.attributeHint, key, value);
-            if (added.err) return added;
-            this.attributeHint = added.val;
+            const fault = hint.set(key, value);
+            if (fault !== undefined) return Err(fault);
         }
-        return Ok(undefined);
+        this.attributeHint = hint;
+        return this.selectHome();
     }
 
     public findUserVariable(name: string): string | undefined {
@@ -78,8 +84,15 @@
             this.replaceVariable(name, previous);
             return hint;
         }
+        const before = this.variableHint;
         this.variableHint = hint.val;
-        return Ok(undefined);
+        const selected = this.selectHome();
+        if (selected.err) {
+            this.replaceVariable(name, previous);
+            this.variableHint = before;
+            this.selectHome();
+        }
+        return selected;
     }
 
     public selectDatabase(name: string): Result<void, Failure> {
@@ -95,34 +108,33 @@
         return this.selectEncoding(name);
     }
 
-    /** Combines what the caller said, most specific first. A request id set as variable counts for one statement only. */
+    /** Combines what the caller said of the statement and of the connection. */
     public resolveHint(statementHint: Hint): Hint {
-        const resolved = { ...this.variableHint, ...this.attributeHint, ...statementHint };
+        return mergeHints(statementHint, this.connectionHint);
+    }
+
+    /** Forgets a request id that was set as variable; it counts for one statement only. */
+    public consumeRequestId(): void {
         if (this.variables.has("vr_req")) this.setUserVariable("vr_req", undefined);
-        return resolved;
     }
 
-    /**
-     * Makes the session of a statement the current one and takes over the floors of its tokens. Statements that overlap
-     * return tokens that do not know of each other, so a caller passes all of them until one answer covers them.
-     */
+    /** Makes the session of a statement the current one and takes over the floors of its tokens. */
     public attach(hint: Hint): Result<void, Failure> {
-        const isCurrent = (hint.session === undefined || hint.session === this.attachedName)
-            && (hint.token === undefined || hint.token === this.attachedToken);
-        if (isCurrent) return Ok(undefined);
-        for (const token of hint.token?.split(tokenSeparator) ?? [undefined]) {
-            const attached = this.session.attach({ name: hint.session, token });
-            if (attached.err) return attached;
-        }
-        this.attachedName = hint.session ?? this.attachedName;
-        this.attachedToken = hint.token ?? this.attachedToken;
-        return Ok(undefined);
+        return this.sessions.select(hint.session, hint.token);
     }
 
     /** Forgets what was set by statements, as a client asks for when its pool hands the connection on. */
     public reset(): void {
         this.variables.clear();
-        this.variableHint = {};
+        this.variableHint = noHint;
+        this.selectHome();
+    }
+
+    /** Applies the session of the connection, so that a token which is not authentic is refused where it is given. */
+    private selectHome(): Result<void, Failure> {
+        this.connectionHint = mergeHints(this.attributeHint, this.variableHint);
+        this.sessions.setHome(this.connectionHint.session);
+        return this.attach(this.connectionHint);
     }
 
     private replaceVariable(name: string, value: string | undefined): void {
@@ -131,12 +143,11 @@
     }
 
     private readVariables(): Result<Hint, Failure> {
-        let hint: Hint = {};
+        const hint = HintDraft.create();
         for (const [name, value] of this.variables) {
             const key = name.slice(variablePrefix.length);
-            const added = addHintValue(hint, key, wordVariables.has(key) ? "" : value);
-            if (added.err) return added;
-            hint = added.val;
+            const fault = hint.set(key, wordVariables.has(key) ? "" : value);
+            if (fault !== undefined) return Err(fault);
         }
         return Ok(hint);
     }
