--- a/packages/bench/src/demo/fleetProcesses.ts
+++ b/packages/bench/src/demo/fleetProcesses.ts
@@ -57,9 +57,13 @@
         this.writeCertificates();
         const platformPort = yield* this.startPlatform();
         for (const name of this.options.groupNames) this.groups.push(yield* this.startGroup(name));
-        for (let number = 1; number <= this.options.vmsPerZone; number++) {
-            for (const zone of this.options.zones) yield* this.startVm(`${zone}-vm${number}`, zone, platformPort);
-        }
+        const places = Array.from(
+            { length: this.options.vmsPerZone },
+            (_value, index) => this.options.zones.map(zone => ({ id: `${zone}-vm${index + 1}`, zone })),
+        );
+        const [first, ...others] = places.flat();
+        yield* this.startVm(first!.id, first!.zone, platformPort);
+        yield* all(others.map(({ id, zone }) => this.startVm(id, zone, platformPort)));
         yield* this.vms[0]!.changeConfiguration(this.makeEdits(this.groups.map(group => group.description)));
         yield* all(this.vms.map(vm => vm.waitServing(this.options.clock)));
     }
@@ -98,7 +102,7 @@
 
     private *startVm(id: string, zone: string, platformPort: number): Operation<void> {
         const settings = {
-            vm: { id, zone, host, heartbeatPort: 0, linkPort: 0, seeds: this.vms.map(vm => ({ host, heartbeatPort: vm.heartbeatPort })) },
+            vm: { id, zone, host, heartbeatPort: 0, linkPort: 0, seeds: this.vms.slice(0, 1).map(vm => ({ host, heartbeatPort: vm.heartbeatPort })) },
             caller: { host, port: 0 },
             administration: { host, port: 0, credential: this.password },
             cluster: {
--- a/packages/bench/src/groupProcesses.ts
+++ b/packages/bench/src/groupProcesses.ts
@@ -15,20 +15,32 @@
     readonly primaryIndex?: number;
 }
 
+function* startInto(started: Map<string, UpstreamProcess>, options: Parameters<typeof UpstreamProcess.start>[0]): Operation<void> {
+    started.set(options.id, yield* UpstreamProcess.start(options));
+}
+
 /** The `vr-group` processes of one database group. */
 export class GroupProcesses {
     private constructor(private readonly name: string, public readonly upstreams: readonly UpstreamProcess[]) {}
 
+    /** Starts the processes together. If one fails to start, or on cancellation, none is left running. */
     public static *start(options: GroupProcessOptions): Operation<GroupProcesses> {
         const ids = options.zones.map((_zone, index) => `${options.name}-${index + 1}`);
         const primary = options.primaryIndex === undefined ? undefined : ids[options.primaryIndex];
         const { slots, maxConnections, statementMs } = options;
-        const upstreams = yield* all(
-            ids.map((id, index) => UpstreamProcess.start({ id, zone: options.zones[index]!, slots, maxConnections, statementMs, primary })),
-        );
-        const ports = Object.fromEntries(upstreams.map(upstream => [upstream.id, upstream.peerPort]));
-        yield* all(upstreams.map(upstream => upstream.setPeers(ports)));
-        return new GroupProcesses(options.name, upstreams);
+        const started = new Map<string, UpstreamProcess>();
+        let isComplete = false;
+        try {
+            yield* all(ids.map((id, index) => startInto(started, { id, zone: options.zones[index]!, slots, maxConnections, statementMs, primary })));
+            const upstreams = ids.map(id => started.get(id)!);
+            const ports = Object.fromEntries(upstreams.map(upstream => [upstream.id, upstream.peerPort]));
+            yield* all(upstreams.map(upstream => upstream.setPeers(ports)));
+            isComplete = true;
+            return new GroupProcesses(options.name, upstreams);
+        }
+        finally {
+            if (!isComplete) { for (const upstream of started.values()) upstream.program.kill("SIGKILL"); }
+        }
     }
 
     public get description(): DatabaseGroup {
--- a/packages/bench/src/upstreamProcess.ts
+++ b/packages/bench/src/upstreamProcess.ts
@@ -43,8 +43,15 @@
         ];
         if (options.primary !== undefined) args.push(`--primary=${options.primary}`);
         const program = ProgramProcess.create(`vr-group ${options.id}`, file, args);
-        const ports = JSON.parse(yield* program.waitReady()) as Ports;
-        return new UpstreamProcess(options, program, ports);
+        let isReady = false;
+        try {
+            const ports = JSON.parse(yield* program.waitReady()) as Ports;
+            isReady = true;
+            return new UpstreamProcess(options, program, ports);
+        }
+        finally {
+            if (!isReady) program.kill("SIGKILL");
+        }
     }
 
     public get id(): string {
