--- a/packages/routing/src/ownerHost.test.ts
+++ b/packages/routing/src/ownerHost.test.ts
@@ -83,6 +83,25 @@
     assert.equal(bed.group.get("a").openConnections, before + 2, "two more slots have two more connections");
 });
 
+test("P6: two owners of one upstream, as during a hand-over, run a request id once and give the same answer", () => {
+    const bed = FakeOwnerBed.create();
+    const host = createHost(bed);
+    host.setOwned(["a"]);
+    bed.clock.advance(200);
+    bed.group.get("a").repliesToLose = 1;
+    const answers: Result<unknown, Failure>[] = [];
+    for (const owner of [bed.get("a"), host]) {
+        for (let index = 0; index < 20; index++) {
+            const task = Task.start(owner.execute(createRequest(`w${index}`, "a", StatementKind.Write)));
+            task.onSettled(() => task.deliver(answer => answers.push(answer), err => assert.fail(String(err))));
+        }
+    }
+    bed.clock.advance(1_000);
+    assert.equal(answers.filter(answer => answer.ok).length, 40);
+    assert.equal(bed.group.finalLog.filter(entry => entry.requestId !== undefined).length, 20);
+    assert.ok(bed.group.get("a").openConnections <= 30);
+});
+
 test("P7: an upstream that says it is leaving gets no new work after 3 s, a primary's writes until then; the naive owner goes on", () => {
     for (const upstream of ["a", "b"]) {
         const bed = FakeOwnerBed.create();
