Fix a crash of the daemon by the answer to a ping

mysql2 calls the callback of a ping without an argument, so err is undefined, not null; the error path then read a field of it outside any task and ended the process with a TypeError. Found when capacity held idle connections for a while. The new test passes now; without the fix its process does not end by itself and had to be killed after ten minutes.

--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -49,6 +49,14 @@
     return (yield* peer.connect(upstream.settings, timeoutMs)).unwrap();
 }
 
+test("a ping of an idle connection is answered (guards against a crash by a library that calls back without an error)", () =>
+    runWithGroup(function*(_group, primary) {
+        const connection = yield* connect(primary);
+        assert.ok((yield* connection.ping()).ok);
+        assert.ok((yield* connection.ping()).ok);
+        connection.close();
+    }));
+
 test("values stay text, NULL stays absent, positions are read and the position column is removed", () =>
     runWithGroup(function*(_group, primary) {
         const connection = yield* connect(primary);
--- a/packages/upstream/src/mysqlClient.ts
+++ b/packages/upstream/src/mysqlClient.ts
@@ -97,7 +97,7 @@
     /** Sends the protocol's ping. */
     public ping(): Operation<Result<StatementResult, QueryError>> {
         return this.wait(deliver => {
-            this.connection.ping(err => deliver(err === null ? Ok(convertResult({}, undefined)) : Err(this.describeError(err))));
+            this.connection.ping(err => deliver(!err ? Ok(convertResult({}, undefined)) : Err(this.describeError(err))));
         });
     }
 
