--- a/packages/bench/src/capacity/measureOwners.ts
+++ b/packages/bench/src/capacity/measureOwners.ts
@@ -61,6 +61,7 @@
         return [];
     });
     yield* host.close();
+    yield* sleep(clock, settleMs);
     const coordinators = yield* observe(() =>
         groups.map(group => {
             const peers = group.upstreams.map(upstream => peer.openGroupPeer(upstream));
--- a/packages/vm/src/member.ts
+++ b/packages/vm/src/member.ts
@@ -5,6 +5,8 @@
 export interface Member {
     readonly vm: VmDescription;
     readonly state: MemberState;
+    /** Hash of the id, kept because assigning roles compares it often. */
+    readonly idHash: number;
     /** Local time of the last change of state, in milliseconds. */
     readonly since: number;
 }
--- a/packages/vm/src/memberTable.ts
+++ b/packages/vm/src/memberTable.ts
@@ -55,7 +55,7 @@
         if (before !== undefined && !replaces(update, before)) return false;
         if (before === undefined && update.state === MemberState.Dead) return false;
         if (before !== undefined && before.vm.zone !== update.vm.zone) this.remove(before);
-        const member: Member = { vm: update.vm, state: update.state, since: this.clock.now() };
+        const member: Member = { vm: update.vm, state: update.state, idHash: before?.idHash ?? hashName(update.vm.id), since: this.clock.now() };
         const zone = this.obtainZone(update.vm.zone);
         if (before !== undefined && before.vm.zone === update.vm.zone) zone.digest ^= hashMember(before);
         zone.digest ^= hashMember(member);
@@ -166,5 +166,5 @@
 
 /** Dead members count like unknown ones, and a suspicion, which passes by itself, makes no difference between two tables. */
 function hashMember(member: Member): number {
-    return member.state === MemberState.Dead ? 0 : mixHashes(hashName(member.vm.id), member.vm.incarnation);
+    return member.state === MemberState.Dead ? 0 : mixHashes(member.idHash, member.vm.incarnation);
 }
--- a/packages/vm/src/ownerRouter.ts
+++ b/packages/vm/src/ownerRouter.ts
@@ -85,11 +85,15 @@
     private readOwnRoles(): OwnRoles {
         const { replica, roles, selfId, table } = this.options;
         const { current } = replica;
-        const epoch = roles.readEpoch(table.find(selfId)?.vm.zone ?? "");
+        const zone = table.find(selfId)?.vm.zone ?? "";
+        const epoch = roles.readEpoch(zone);
         if (this.own?.epoch === epoch && this.own.configuration === current) return this.own;
-        const owned = [...this.readUpstreams().values()].filter(upstream => roles.orderOwners(upstream.id, upstream.zone)[0]?.vm.id === selfId);
+        const foreignZones = new Set(table.zoneNames.filter(name => name !== zone && roles.canHoldRoles(name)));
+        const candidates = [...this.readUpstreams().values()].filter(upstream => !foreignZones.has(upstream.zone));
+        const owned = candidates.filter(upstream => roles.orderOwners(upstream.id, upstream.zone)[0]?.vm.id === selfId);
         const places = new Map<string, number>();
         for (const group of current?.groups.values() ?? []) {
+            if (group.upstreams.every(upstream => foreignZones.has(upstream.zone))) continue;
             const place = roles.findCoordinatorPlace(group);
             if (place !== undefined) places.set(group.name, place);
         }
--- a/packages/vm/src/roleAssignment.ts
+++ b/packages/vm/src/roleAssignment.ts
@@ -53,11 +53,13 @@
      * this VM's zone are compared.
      */
     public findCoordinatorPlace(group: DatabaseGroup): number | undefined {
-        const zones = this.rankGroupZones(group);
-        const self = this.table.find(this.selfId);
-        const zoneIndex = self === undefined ? -1 : zones.indexOf(self.vm.zone);
-        if (zoneIndex < 0) return undefined;
-        const place = this.order(`group:${group.name}`, zones[zoneIndex]!).findIndex(member => member.vm.id === this.selfId);
+        const own = this.table.find(this.selfId)?.vm.zone;
+        const candidates = this.listGroupZones(group);
+        if (own === undefined || !candidates.includes(own)) return undefined;
+        const hash = hashName(group.name);
+        const zones = [...candidates].sort((first, second) => mixHashes(hash, hashName(second)) - mixHashes(hash, hashName(first)));
+        const zoneIndex = zones.indexOf(own);
+        const place = this.order(`group:${group.name}`, own).findIndex(member => member.vm.id === this.selfId);
         const order = place * zones.length + zoneIndex;
         return place < 0 || order >= coordinatorCount ? undefined : order;
     }
@@ -70,21 +72,20 @@
         return `${this.table.readVersion(zone)} ${this.table.zoneNames.filter(name => this.canHoldRoles(name)).join()}`;
     }
 
-    private rankGroupZones(group: DatabaseGroup): readonly string[] {
+    /** Whether a zone has VMs for roles, as far as this VM's zone reaches it. */
+    public canHoldRoles(zone: string): boolean {
+        return this.table.listEligible(zone).length > 0 && this.isReachable(zone);
+    }
+
+    private listGroupZones(group: DatabaseGroup): readonly string[] {
         const own = [...new Set(group.upstreams.map(upstream => upstream.zone))].filter(zone => this.canHoldRoles(zone));
-        const zones = own.length > 0 ? own : this.table.zoneNames.filter(zone => this.canHoldRoles(zone));
-        const hash = hashName(group.name);
-        return [...zones].sort((first, second) => mixHashes(hash, hashName(second)) - mixHashes(hash, hashName(first)));
+        return own.length > 0 ? own : this.table.zoneNames.filter(zone => this.canHoldRoles(zone));
     }
 
     private findNearestZone(zone: string): string | undefined {
         return rankZones(zone, this.table.zoneNames).find(name => this.canHoldRoles(name));
     }
 
-    private canHoldRoles(zone: string): boolean {
-        return this.table.listEligible(zone).length > 0 && this.isReachable(zone);
-    }
-
     /** Returns the members of a zone with the highest weights for a role. */
     private order(role: string, zone: string): readonly Member[] {
         const key = `${role}@${zone}`;
@@ -101,7 +102,7 @@
 function selectHighest(roleHash: number, members: readonly Member[]): readonly Member[] {
     const best: { readonly weight: number; readonly member: Member; }[] = [];
     for (const member of members) {
-        const weight = mixHashes(roleHash, hashName(member.vm.id));
+        const weight = mixHashes(roleHash, member.idHash);
         if (best.length === orderLength && weight <= best[orderLength - 1]!.weight) continue;
         const position = best.findIndex(entry => weight > entry.weight);
         best.splice(position < 0 ? best.length : position, 0, { weight, member });
