--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -49,6 +49,14 @@
     return (yield* peer.connect(upstream.settings, timeoutMs)).unwrap();
 }
 
+test("a ping of an idle connection is answered (guards against a crash by a library that calls back without an error)", () =>
+    runWithGroup(function*(_group, primary) {
+        const connection = yield* connect(primary);
+        assert.ok((yield* connection.ping()).ok);
+        assert.ok((yield* connection.ping()).ok);
+        connection.close();
+    }));
+
 test("values stay text, NULL stays absent, positions are read and the position column is removed", () =>
     runWithGroup(function*(_group, primary) {
         const connection = yield* connect(primary);
@@ -65,7 +73,7 @@
         connection.close();
     }));
 
-test("a request id runs once, and a rejected, fenced or too early statement did not run", () =>
+test("a request id runs once, rejected or too early statements did not run, and a replica of a newer term confirms nothing", () =>
     runWithGroup(function*(group, primary) {
         const connection = yield* connect(primary);
         const first = (yield* connection.write(insert, 1, "r1")).unwrap();
@@ -83,6 +91,9 @@
         const replica = peer.openGroupPeer(group.upstreams[1]!.settings);
         assert.equal((yield* replica.waitReceived(first.at, timeoutMs)).unwrap().acceptedTerm, 1);
         expectFailure(yield* replica.waitReceived({ term: 1, position: 99 }, 150), Diagnostics.callTimedOut.code, RunOutcome.Unknown);
+        assert.equal((yield* replica.acceptTerm(2, timeoutMs)).unwrap().accepted, true);
+        const fenced = yield* replica.waitReceived(first.at, timeoutMs);
+        expectFailure(fenced, RoutingDiagnostics.termReplaced.code, RunOutcome.Unknown);
         replica.close();
         control.close();
         connection.close();
