--- a/packages/upstream/src/failoverCoordinator.ts
+++ b/packages/upstream/src/failoverCoordinator.ts
@@ -88,7 +88,7 @@
             for (const peer of this.options.peers) this.tasks.start(this.watch.watch(peer));
             for (;;) {
                 yield* this.step();
-                yield* race([this.watch.updated.wait(), sleep(this.options.clock, failoverLimits.suspiciousPollMs)]);
+                yield* race([this.watch.updated.wait(), sleep(this.options.clock, this.chooseStepInterval())]);
             }
         }
         finally {
@@ -96,6 +96,12 @@
         }
     }
 
+    /** Only a condition that calls for an election has to be looked at between two status calls. */
+    private chooseStepInterval(): number {
+        const isQuiet = this.assessment?.condition === GroupCondition.Healthy && this.pending === undefined;
+        return isQuiet ? failoverLimits.pollMs : failoverLimits.suspiciousPollMs;
+    }
+
     private get quorum(): number {
         return Math.floor(this.options.peers.length / 2) + 1;
     }
