Keep the slot time that nearly all statements need before a deadline

Cause: only the mean slot time was kept back, so many statements that started last were interrupted; each cost its slot time and a connection. Ruled out: the longest slot time seen, which one rare statement raises.

--- a/packages/routing/src/serviceTimes.ts
+++ b/packages/routing/src/serviceTimes.ts
@@ -6,6 +6,9 @@
 /** Factor on the longest slot time with each observation, so that it is forgotten after some thousands. */
 const peakDecay = 0.9995;
 
+/** Limit of the slot time kept before a deadline, as a multiple of the mean. */
+const longestReserveFactor = 3;
+
 /** Running mean and mean deviation of a class's slot time. */
 export class ServiceTimes {
     private mean = initialEstimateMs;
@@ -28,6 +31,14 @@
         return Math.max(this.peak, this.mean + 2 * this.deviation);
     }
 
+    /**
+     * Slot time to keep before a deadline, in milliseconds. A statement that starts later is likely to be interrupted,
+     * which costs its slot time and its connection; one rare long statement must not raise the reserve beyond the limit.
+     */
+    public get reserveMs(): number {
+        return Math.min(this.highMs, this.mean * longestReserveFactor);
+    }
+
     public record(durationMs: number): void {
         this.count++;
         this.peak = Math.max(durationMs, this.peak * peakDecay);
--- a/packages/routing/src/slotScheduler.ts
+++ b/packages/routing/src/slotScheduler.ts
@@ -118,7 +118,7 @@
     private enqueue(req: SlotRequest): SlotTicket {
         const state = this.obtainClass(req.className);
         state.rank = req.rank;
-        const ticket = SlotTicket.create(req, state.times.meanMs, this.order++);
+        const ticket = SlotTicket.create(req, state.times.meanMs, state.times.reserveMs, this.order++);
         this.noteArrival(ticket, state);
         if (this.waiting > 0 || this.running.size >= this.slots) this.checkFeasible(ticket, state);
         if (ticket.state !== SlotTicketState.Waiting) return ticket;
--- a/packages/routing/src/slotTicket.ts
+++ b/packages/routing/src/slotTicket.ts
@@ -23,15 +23,21 @@
     public cancelTimer: () => void = ignore;
     private wake: () => void = ignore;
 
-    private constructor(public readonly req: SlotRequest, public readonly estimateMs: number, public readonly order: number) {}
+    private constructor(
+        public readonly req: SlotRequest,
+        public readonly estimateMs: number,
+        private readonly reserveMs: number,
+        public readonly order: number,
+    ) {}
 
-    public static create(req: SlotRequest, estimateMs: number, order: number): SlotTicket {
-        return new SlotTicket(req, estimateMs, order);
+    /** `estimateMs` is the expected slot time; `reserveMs` is what nearly all statements of the class end within. */
+    public static create(req: SlotRequest, estimateMs: number, reserveMs: number, order: number): SlotTicket {
+        return new SlotTicket(req, estimateMs, reserveMs, order);
     }
 
     /** Time at which the statement must start to be answered in time. */
     public get latestStart(): number {
-        const expected = this.estimateMs + this.req.afterSlotMs;
+        const expected = this.reserveMs + this.req.afterSlotMs;
         // An estimate from a slow period must not refuse a whole class for ever, so it counts for at most half of the time.
         return this.req.deadline - Math.min(expected, (this.req.deadline - this.req.arrivedAt) / 2);
     }
