--- a/packages/daemon/src/daemon.e2e.test.ts
+++ b/packages/daemon/src/daemon.e2e.test.ts
@@ -246,31 +246,38 @@
             await other.query(sql).catch(err => failures.push(String(err)));
         }
     });
-    await new Promise(resolve => setTimeout(resolve, 200));
-    const transaction = await open(vms[1]!);
-    await transaction.query("BEGIN");
-    await transaction.query(insert.replace("REF", "part-1"));
-    leaving.child.kill("SIGTERM");
-    await eventually(async () => assert.equal((await fetch(`${leaving.admin}/health`)).status, 503, "the load balancer is told before callers are"));
-    const exited = once(leaving.child, "exit");
-    await new Promise(resolve => setTimeout(resolve, 800));
-    await setStatementTime(slowStatementMs);
-    await transaction.query(insert.replace("REF", "part-2"));
-    await transaction.query("COMMIT");
-    await setStatementTime(1);
-    const [code] = await exited;
-    await load;
-    await new Promise(resolve => setTimeout(resolve, 500));
-    isLeft = true;
-    await Promise.all(otherLoads);
-    assert.deepEqual(failures, [], "callers of the other VM see nothing of the change of owners");
-    assert.equal(code, 0, leaving.readLog());
-    assert.equal(refused, 1);
-    transaction.destroy();
-    const executed = await readExecuted();
-    for (const ref of [...answered, "part-1", "part-2"]) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
-    assert.equal(executed.filter(sql => sql.includes("'drain-")).length, answered.length, "what was refused did not run");
-    for (const other of others) other.destroy();
+    try {
+        await new Promise(resolve => setTimeout(resolve, 200));
+        const transaction = await open(vms[1]!);
+        await transaction.query("BEGIN");
+        await transaction.query(insert.replace("REF", "part-1"));
+        leaving.child.kill("SIGTERM");
+        await eventually(async () => assert.equal((await fetch(`${leaving.admin}/health`)).status, 503, "the load balancer is told before callers are"));
+        const exited = once(leaving.child, "exit");
+        await new Promise(resolve => setTimeout(resolve, 800));
+        await setStatementTime(slowStatementMs);
+        await transaction.query(insert.replace("REF", "part-2"));
+        await transaction.query("COMMIT");
+        await setStatementTime(1);
+        const [code] = await exited;
+        await load;
+        await new Promise(resolve => setTimeout(resolve, 500));
+        isLeft = true;
+        await Promise.all(otherLoads);
+        assert.deepEqual(failures, [], "callers of the other VM see nothing of the change of owners");
+        assert.equal(code, 0, leaving.readLog());
+        assert.equal(refused, 1);
+        transaction.destroy();
+        const executed = await readExecuted();
+        for (const ref of [...answered, "part-1", "part-2"]) assert.equal(executed.filter(sql => sql.includes(`'${ref}'`)).length, 1, ref);
+        assert.equal(executed.filter(sql => sql.includes("'drain-")).length, answered.length, "what was refused did not run");
+        for (const other of others) other.destroy();
+    }
+    finally {
+        // A failed assertion must not leave the load running, which would keep the test run from ending.
+        isLeft = true;
+        for (const opened of [connection, ...others]) opened.destroy();
+    }
 });
 
 test("a killed primary is replaced and the session goes on", async () => {
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -4,6 +4,7 @@
 import { join } from "node:path";
 import { prepare } from "./prepare.mjs";
 
+const testTimeoutMs = 240_000;
 const root = prepare();
 
 function findTests() {
@@ -31,6 +32,9 @@
     const result = spawnSync(process.execPath, [
         "--enable-source-maps",
         "--test",
+        // A failed test may leave connections open; the run has to end with its verdict all the same.
+        "--test-force-exit",
+        `--test-timeout=${testTimeoutMs}`,
         `--test-concurrency=${concurrency}`,
         "--test-reporter=spec",
         "--test-reporter-destination=stdout",
