Verify a link before it ends because its VM was declared dead

Why membership declared it dead is not known. Ruled out: ignoring the declaration, which leaves calls to a dead VM to the slower detection of silence.

--- a/packages/vm/src/linkPool.ts
+++ b/packages/vm/src/linkPool.ts
@@ -83,11 +83,11 @@
         return owner;
     }
 
-    /** Ends the links to a VM that was declared dead; its waiting calls fail at once. */
+    /** Ends the link to a VM that was declared dead, with its waiting calls, unless the VM still answers on it. */
     public drop(vm: VmDescription): void {
         const key = `${vm.id}@${vm.host}:${vm.linkPort}`;
         this.owners.delete(key);
-        this.links.get(key)?.end("the VM was declared dead");
+        this.links.get(key)?.verify("the VM was declared dead");
     }
 
     public readDigest(vm: VmDescription): Operation<Result<ShardDigest, Failure>> {
--- a/packages/vm/src/links.test.ts
+++ b/packages/vm/src/links.test.ts
@@ -185,6 +185,14 @@
         (await run(link.execute(createRequest("slow", "wait 2500", StatementKind.Write, 10_000)))).unwrap();
     }));
 
+test("P8: a VM wrongly declared dead finishes what it was asked (guards against breaking the transactions of a VM that leaves)", () =>
+    withLink(async ({ link, pool, vm }) => {
+        const answer = run(link.execute(createRequest("last", "wait 1500", StatementKind.Write, 5_000)));
+        await run(sleep(clock, 100));
+        pool.drop(vm);
+        (await answer).unwrap();
+    }));
+
 test("transactions of a link that ends are rolled back (guards against slots held for ever)", () =>
     withLink(async ({ link, pool, owner }) => {
         const begin = { requestId: "t1", upstream: "u1", group: "g1", className: "orders", rank: Rank.Urgent, franchisee: "f1", term: 1, timeoutMs: 1_000 };
--- a/packages/vm/src/peerLink.ts
+++ b/packages/vm/src/peerLink.ts
@@ -115,6 +115,20 @@
         }
     }
 
+    /**
+     * Ends the link unless the peer answers a ping in time. Membership can be wrong about a VM, and one that is shutting
+     * down still finishes transactions of this VM.
+     */
+    public verify(reason: string): void {
+        if (this.state !== "open") {
+            this.end(reason);
+            return;
+        }
+        const askedAt = this.options.clock.now();
+        this.messages.ping();
+        this.options.clock.startTimer(pongWaitMs, () => this.messages.lastInboundAt < askedAt && this.end(reason));
+    }
+
     /** Ends the link; waiting calls fail. */
     public end(reason: string): void {
         if (this.state === "closed") return;
