--- a/packages/bench/src/demo/demoReport.ts
+++ b/packages/bench/src/demo/demoReport.ts
@@ -1,4 +1,4 @@
-import { LoadSummary } from "../load/summarizeLoad";
+import { LoadSummary } from "../load/loadSummary";
 
 /** What the demo found. Counts of faults come from the record of the upstreams. */
 export interface DemoReport {
--- /dev/null
+++ b/packages/bench/src/load/classSummary.ts
@@ -0,0 +1,15 @@
+/** Counts and latencies of one class. Latencies are of answered requests, in milliseconds. */
+export interface ClassSummary {
+    readonly rank: string;
+    readonly requests: number;
+    readonly answered: number;
+    readonly refusedNotRun: number;
+    readonly unknown: number;
+    readonly failed: number;
+    readonly wrong: number;
+    /** Share of requests answered within the target of the class. */
+    readonly withinTarget: number;
+    readonly p50Ms: number;
+    readonly p99Ms: number;
+    readonly maxMs: number;
+}
--- a/packages/bench/src/load/formatLoadTable.ts
+++ b/packages/bench/src/load/formatLoadTable.ts
@@ -1,4 +1,4 @@
-import { LoadSummary } from "./summarizeLoad";
+import { LoadSummary } from "./loadSummary";
 
 const headings = ["class", "rank", "requests", "answered", "refused", "unknown", "failed", "wrong", "in target", "p50 ms", "p99 ms", "max ms"];
 
--- a/packages/bench/src/load/summarizeLoad.ts
+++ b/packages/bench/src/load/summarizeLoad.ts
@@ -1,31 +1,9 @@
 import { build, Histogram } from "hdr-histogram-js";
 import { ClassLoad } from "../measure/classLoad";
+import { ClassSummary } from "./classSummary";
 import { LoadOutcome } from "./loadOutcome";
 import { LoadRecord } from "./loadRecord";
-
-/** Counts and latencies of one class. Latencies are of answered requests, in milliseconds. */
-interface ClassSummary {
-    readonly rank: string;
-    readonly requests: number;
-    readonly answered: number;
-    readonly refusedNotRun: number;
-    readonly unknown: number;
-    readonly failed: number;
-    readonly wrong: number;
-    /** Share of requests answered within the target of the class. */
-    readonly withinTarget: number;
-    readonly p50Ms: number;
-    readonly p99Ms: number;
-    readonly maxMs: number;
-}
-
-/** The result of a load in all and by class. */
-export interface LoadSummary extends Omit<ClassSummary, "rank" | "withinTarget"> {
-    readonly requestsPerSecond: number;
-    readonly classes: Readonly<Record<string, ClassSummary>>;
-    /** Some of the errors, with how often each came. */
-    readonly errors: Readonly<Record<string, number>>;
-}
+import { LoadSummary } from "./loadSummary";
 
 const highestLatencyUs = 120_000_000;
 const listedErrors = 10;
--- a/packages/bench/src/measure/fakeUpstream.ts
+++ b/packages/bench/src/measure/fakeUpstream.ts
@@ -11,7 +11,7 @@
 const firstEntry: LogEntry = { term: 1, requestId: "", cancelled: false, at: 0 };
 
 /** How an upstream can fail. */
-export type UpstreamFailure = "none" | "crashed" | "silent";
+type UpstreamFailure = "none" | "crashed" | "silent";
 
 /** One upstream of a fake group: slots, log, replication and terms as docs/design.md section 6 assumes them. */
 export class FakeUpstream {
