--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,6 +28,11 @@
             "require-yield": "off",
         },
     },
+    {
+        // Launchers are CommonJS files that load the compiled program.
+        files: ["packages/*/bin/*.js"],
+        rules: { "@typescript-eslint/no-require-imports": "off" },
+    },
     {
         files: ["packages/**/*.test.ts"],
         rules: { "max-lines-per-function": "off" },
--- /dev/null
+++ b/packages/bench/bin/vr-load.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+require("../dist/loadMain.js");
