Give statements of a transaction four times the progress timeout

Ruled out: a longer timeout for all statements, which delays moving single statements off silent connections. Conclusion: a transaction is lost with its connection and cannot be sent again, so it waits longer. Tests of transactions, connections and outcomes pass.

--- a/packages/routing/src/transactionExecutor.ts
+++ b/packages/routing/src/transactionExecutor.ts
@@ -17,6 +17,12 @@
 import { TransactionStatement } from "./transactionStatement";
 import { UpstreamAnswer } from "./upstreamAnswer";
 
+/**
+ * Doublings of the progress timeout for statements of a transaction. A transaction is lost with its connection, while a
+ * single statement is only sent again, so a statement that is merely slow must not be taken for a silent connection.
+ */
+const suspicionStep = 2;
+
 /** Time for which an open transaction may wait for its caller, in milliseconds. It holds row locks meanwhile. */
 const idleLeaseMs = 5_000;
 /** Time allowed for a rollback, in milliseconds. Afterwards the connection is closed, which rolls back as well. */
@@ -152,7 +158,7 @@
         transaction.cancelLease();
         let isIntact = false;
         try {
-            const run = (): Operation<Result<T, Failure>> => this.context.runner.runOn(transaction.req.className, deadline, 0, statement());
+            const run = (): Operation<Result<T, Failure>> => this.context.runner.runOn(transaction.req.className, deadline, suspicionStep, statement());
             const scheduled = yield* this.context.scheduler.run(this.createSlot(transaction.req, deadline, true), run);
             const result = scheduled.ok ? scheduled.val : scheduled;
             isIntact = result.ok || result.val.outcome !== RunOutcome.Unknown;
