--- a/packages/base/src/createLogger.ts
+++ b/packages/base/src/createLogger.ts
@@ -1,8 +1,9 @@
 import * as bunyan from "bunyan";
+import { Writable } from "node:stream";
 import { KeyValueStream } from "./keyValueStream";
 
-/** Makes the logger of a program. It writes to standard error; the message of each record is the name of the event. */
-export function createLogger(program: string, level: bunyan.LogLevel = "info"): bunyan {
-    const stream = KeyValueStream.create(process.stderr);
+/** Makes the logger of a program. It writes to standard error by default; the message of each record is the name of the event. */
+export function createLogger(program: string, level: bunyan.LogLevel = "info", target: Writable = process.stderr): bunyan {
+    const stream = KeyValueStream.create(target);
     return bunyan.createLogger({ name: program, streams: [{ type: "raw", level, stream: stream as unknown as NodeJS.WritableStream }] });
 }
--- /dev/null
+++ b/packages/session/src/cluster/clusterState.ts
@@ -0,0 +1,92 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Signal } from "@vanillarouter/base/signal";
+import { RoutingConfiguration } from "../model/routingConfiguration";
+import { UpstreamEntry } from "../model/upstreamEntry";
+import { WorkClass } from "../model/workClass";
+
+/** Entries that lapsed during an outage of the store are written again within two seconds of its return. */
+const missingEntryGraceMs = 2_300;
+
+/** What this VM knows of the configuration, the upstreams and the other VMs. */
+export class ClusterState {
+    /** Wakes tasks that depend on the list of upstreams. */
+    public readonly upstreamsChanged = Signal.create<void>();
+    private current: RoutingConfiguration | undefined;
+    private readonly entries = new Map<string, UpstreamEntry>();
+    private readonly missingSince = new Map<string, number>();
+    private readonly members = new Set<string>();
+
+    private constructor(public readonly vmId: string, private readonly clock: Clock) {
+        this.members.add(vmId);
+    }
+
+    public static create(vmId: string, clock: Clock): ClusterState {
+        return new ClusterState(vmId, clock);
+    }
+
+    public get configuration(): RoutingConfiguration | undefined {
+        return this.current;
+    }
+
+    public get memberIds(): readonly string[] {
+        return [...this.members].sort();
+    }
+
+    public get services(): ReadonlySet<string> {
+        return new Set([...this.entries.values()].map(entry => entry.service));
+    }
+
+    public get upstreamIds(): readonly string[] {
+        return [...this.entries.keys()];
+    }
+
+    /** Applies a configuration unless it is older than the current one. Returns whether it was applied. */
+    public applyConfiguration(configuration: RoutingConfiguration): boolean {
+        if (this.current !== undefined && configuration.version <= this.current.version) return false;
+        this.current = configuration;
+        return true;
+    }
+
+    public findClass(database: string): WorkClass | undefined {
+        return this.current?.classes.get(database);
+    }
+
+    public listUpstreams(service: string): readonly UpstreamEntry[] {
+        return [...this.entries.values()].filter(entry => entry.service === service);
+    }
+
+    public findUpstream(id: string): UpstreamEntry | undefined {
+        return this.entries.get(id);
+    }
+
+    public putUpstream(entry: UpstreamEntry): void {
+        this.missingSince.delete(entry.id);
+        const known = this.entries.get(entry.id);
+        if (known !== undefined && JSON.stringify(known) === JSON.stringify(entry)) return;
+        this.entries.set(entry.id, entry);
+        this.upstreamsChanged.notifyAll();
+    }
+
+    /** Notes that an entry is missing. It stays in use until `dropMissing` finds that it did not return. */
+    public removeUpstream(id: string): void {
+        if (this.entries.has(id) && !this.missingSince.has(id)) this.missingSince.set(id, this.clock.now());
+    }
+
+    /** Drops the entries that have been missing for too long. Call it several times a second. */
+    public dropMissing(): void {
+        for (const [id, since] of this.missingSince) {
+            if (this.clock.now() - since < missingEntryGraceMs) continue;
+            this.missingSince.delete(id);
+            this.entries.delete(id);
+            this.upstreamsChanged.notifyAll();
+        }
+    }
+
+    public putMember(id: string): void {
+        this.members.add(id);
+    }
+
+    public removeMember(id: string): void {
+        if (id !== this.vmId) this.members.delete(id);
+    }
+}
--- /dev/null
+++ b/packages/session/src/cluster/primaryBelief.ts
@@ -0,0 +1,43 @@
+import { Signal } from "@vanillarouter/base/signal";
+import * as bunyan from "bunyan";
+
+/** Which upstream this VM takes for the primary of a group, and in which term. */
+export class PrimaryBelief {
+    /** Wakes tasks that wait for a primary. */
+    public readonly changed = Signal.create<void>();
+    /** Wakes the group's watcher. */
+    public readonly suspected = Signal.create<void>();
+    private current: { readonly id: string; readonly term: number } | undefined;
+    private suspicion: string | undefined = "the VM has just started";
+
+    private constructor(public readonly service: string, private readonly log: bunyan) {}
+
+    public static create(service: string, log: bunyan): PrimaryBelief {
+        return new PrimaryBelief(service, log);
+    }
+
+    public get primary(): { readonly id: string; readonly term: number } | undefined {
+        return this.current;
+    }
+
+    public get isSuspected(): boolean {
+        return this.suspicion !== undefined;
+    }
+
+    /** Asks the watcher to look at the group. The primary stays in use meanwhile. */
+    public suspect(reason: string): void {
+        if (this.suspicion === undefined) this.log.info({ service: this.service, primary: this.current?.id, term: this.current?.term, reason }, "primary.suspected");
+        this.suspicion = reason;
+        this.suspected.notifyAll();
+    }
+
+    /** Confirms or replaces the primary. A lower term than the known one changes nothing. */
+    public confirm(id: string, term: number): void {
+        if (this.current !== undefined && term < this.current.term) return;
+        this.suspicion = undefined;
+        if (this.current?.id === id && this.current.term === term) return;
+        this.log.info({ service: this.service, primary: id, term, previous: this.current?.id }, "primary.changed");
+        this.current = { id, term };
+        this.changed.notifyAll();
+    }
+}
--- /dev/null
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -0,0 +1,82 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { Task } from "@vanillarouter/base/task";
+import * as bunyan from "bunyan";
+import { PositionSamples } from "../freshness/positionSamples";
+import { PrimaryProver } from "../freshness/primaryProver";
+import { SuspensionDetector } from "../freshness/suspensionDetector";
+import { CommandKind } from "../model/commandKind";
+import { UpstreamPool } from "../upstream/upstreamPool";
+import { UpstreamPools } from "../upstream/upstreamPools";
+import { PrimaryBelief } from "./primaryBelief";
+
+const statusTimeoutMs = 400;
+
+/** One database group as this VM sees it: the primary, its proven positions and the pools of its upstreams. */
+export class ServiceGroup {
+    public readonly belief: PrimaryBelief;
+    public readonly prover: PrimaryProver;
+    public readonly samples: PositionSamples;
+    private refreshing: Task<void> | undefined;
+
+    private constructor(
+        public readonly service: string,
+        private readonly clock: Clock,
+        public readonly pools: UpstreamPools,
+        suspension: SuspensionDetector,
+        log: bunyan,
+    ) {
+        this.belief = PrimaryBelief.create(service, log);
+        this.prover = PrimaryProver.create(service, clock, pools, this.belief);
+        this.samples = PositionSamples.create(clock, suspension);
+    }
+
+    public static create(service: string, clock: Clock, pools: UpstreamPools, suspension: SuspensionDetector, log: bunyan): ServiceGroup {
+        return new ServiceGroup(service, clock, pools, suspension, log);
+    }
+
+    /** Returns the pool of the primary, if it is known and listed. */
+    public findPrimary(): { readonly pool: UpstreamPool; readonly term: number } | undefined {
+        const primary = this.belief.primary;
+        const pool = primary === undefined ? undefined : this.pools.find(primary.id);
+        return pool === undefined ? undefined : { pool, term: primary!.term };
+    }
+
+    /**
+     * Returns a position that covers every commit acknowledged more than `maxAgeMs` ago, asking the primary if none is
+     * known. Undefined if none is proven by `giveUpAt`.
+     */
+    public *obtainFloor(maxAgeMs: number, giveUpAt: number): Operation<LogPosition | undefined> {
+        for (;;) {
+            if (this.samples.newestAgeMs > maxAgeMs / 2) this.startRefresh();
+            const known = this.samples.findOldest(maxAgeMs);
+            if (known !== undefined) return known;
+            if (this.clock.now() >= giveUpAt || this.refreshing === undefined) return undefined;
+            const refreshing = this.refreshing;
+            yield* refreshing.join();
+            if (this.samples.findOldest(maxAgeMs) === undefined) return undefined;
+        }
+    }
+
+    private startRefresh(): void {
+        if (this.refreshing !== undefined) return;
+        const task = Task.start(this.refresh());
+        if (task.isSettled) return;
+        this.refreshing = task;
+        task.onSettled(() => this.refreshing = undefined);
+    }
+
+    private *refresh(): Operation<void> {
+        const primary = this.findPrimary();
+        if (primary === undefined) return;
+        const askedAt = this.clock.now();
+        const status = yield* primary.pool.runControl(CommandKind.Status, statusTimeoutMs);
+        if (status === undefined || !status.isPrimary || status.term !== primary.term) {
+            this.belief.suspect("the primary did not confirm its role");
+            return;
+        }
+        const proof = yield* this.prover.prove(primary.term, askedAt, askedAt + 2 * statusTimeoutMs);
+        if (proof !== undefined) this.samples.add(askedAt, status.received);
+    }
+}
--- /dev/null
+++ b/packages/session/src/entry/shutdown.ts
@@ -0,0 +1,38 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { Signal } from "@vanillarouter/base/signal";
+
+/** The stages of a graceful stop, as sessions see them. */
+export class Shutdown {
+    private readonly idleClose = Signal.create<void>();
+    private readonly transactionClose = Signal.create<void>();
+    private idleClosed = false;
+    private transactionsClosed = false;
+
+    private constructor() {}
+
+    public static create(): Shutdown {
+        return new Shutdown();
+    }
+
+    /** Idle sessions end from now on. */
+    public closeIdleSessions(): void {
+        this.idleClosed = true;
+        this.idleClose.notifyAll();
+    }
+
+    /** Transactions that wait for their caller end from now on. */
+    public closeTransactions(): void {
+        this.transactionsClosed = true;
+        this.transactionClose.notifyAll();
+    }
+
+    public *awaitIdleClose(): Operation<undefined> {
+        if (!this.idleClosed) yield* this.idleClose.wait();
+        return undefined;
+    }
+
+    public *awaitTransactionClose(): Operation<undefined> {
+        if (!this.transactionsClosed) yield* this.transactionClose.wait();
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/session/src/entry/statementRunner.ts
@@ -0,0 +1,160 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import * as bunyan from "bunyan";
+import { ServiceGroup } from "../cluster/serviceGroup";
+import { Diagnostics } from "../diagnostics";
+import { CallerStatement } from "../model/callerStatement";
+import { CommandKind } from "../model/commandKind";
+import { ErrorKind } from "../model/errorKind";
+import { Freshness } from "../model/freshness";
+import { StatementKind } from "../model/statementKind";
+import { TransactionState } from "../model/transactionState";
+import { UpstreamAnswer } from "../model/upstreamAnswer";
+import { UpstreamConnection } from "../upstream/upstreamConnection";
+import { failStatement } from "./failStatement";
+import { ServedRequest } from "./servedRequest";
+import { StatementOutcome } from "./statementOutcome";
+import { Target } from "./target";
+import { TargetFinder } from "./targetFinder";
+import { WriteConfirmer } from "./writeConfirmer";
+
+const mostAttempts = 5;
+const retryPauseMs = 8;
+/** Share of the statement timeout that an operation may wait for a place to run; the rest is for the run itself. */
+const waitShare = 0.7;
+
+/** Runs single statements: finds an upstream, runs, repeats what is known not to have run and confirms writes. */
+export class StatementRunner {
+    private constructor(
+        private readonly clock: Clock,
+        private readonly targets: TargetFinder,
+        private readonly confirmer: WriteConfirmer,
+        private readonly log: bunyan,
+    ) {}
+
+    public static create(clock: Clock, targets: TargetFinder, confirmer: WriteConfirmer, log: bunyan): StatementRunner {
+        return new StatementRunner(clock, targets, confirmer, log);
+    }
+
+    public *run(group: ServiceGroup, req: ServedRequest, statement: CallerStatement): Operation<StatementOutcome> {
+        const deadline = req.receivedAt + req.workClass.statementTimeoutMs;
+        const giveUpAt = req.receivedAt + req.workClass.statementTimeoutMs * waitShare;
+        const avoided = new Set<string>();
+        let last = failStatement(ErrorKind.Busy, Diagnostics.overloaded, req.workClass.targetMs);
+        for (let attempt = 0; attempt < mostAttempts && this.clock.now() < giveUpAt; attempt++) {
+            if (attempt > 0) yield* sleep(this.clock, retryPauseMs * attempt);
+            const target = yield* this.targets.find(group, req, avoided, giveUpAt);
+            if (target === undefined) return this.explainMissingTarget(group, req);
+            const outcome = yield* this.runOnce(group, req, statement, target, giveUpAt, deadline);
+            if (outcome.error === undefined || !this.mayRepeat(req, outcome.error)) return outcome;
+            last = outcome;
+            avoided.add(target.pool.entry.id);
+            this.log.debug({ req: statement.id, upstream: target.pool.entry.id, attempt, error: outcome.error }, "statement.repeated");
+        }
+        return this.makeFinal(req, last);
+    }
+
+    private explainMissingTarget(group: ServiceGroup, req: ServedRequest): StatementOutcome {
+        if (group.findPrimary() === undefined) return failStatement(ErrorKind.Busy, Diagnostics.noPrimary, group.service);
+        return failStatement(req.readOnly ? ErrorKind.Lagging : ErrorKind.Busy, Diagnostics.notFreshEnough);
+    }
+
+    private mayRepeat(req: ServedRequest, error: ErrorKind): boolean {
+        switch (error) {
+            case ErrorKind.Busy:
+            case ErrorKind.Lagging:
+            case ErrorKind.ReadOnly:
+            case ErrorKind.Misrouted:
+            case ErrorKind.TooManyConnections:
+            case ErrorKind.Other:
+                return true;
+            case ErrorKind.UnknownOutcome:
+            case ErrorKind.Failed:
+            case ErrorKind.TimedOut:
+                return req.readOnly;
+            default:
+                return false;
+        }
+    }
+
+    /** The last error of a statement that did not run is a promise; for a read that may have run nothing is kept either. */
+    private makeFinal(req: ServedRequest, last: StatementOutcome): StatementOutcome {
+        if (last.error === ErrorKind.Other) return failStatement(ErrorKind.Busy, Diagnostics.overloaded, req.workClass.targetMs);
+        if (last.error === ErrorKind.UnknownOutcome && req.readOnly) return failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, "no answer of an upstream");
+        return last;
+    }
+
+    private *runOnce(
+        group: ServiceGroup,
+        req: ServedRequest,
+        statement: CallerStatement,
+        target: Target,
+        giveUpAt: number,
+        deadline: number,
+    ): Operation<StatementOutcome> {
+        const granted = yield* target.pool.acquire({ session: req.session, rank: req.workClass.rank, giveUpAt });
+        if (granted.err) {
+            if (target.primaryTerm !== undefined && granted.val !== ErrorKind.Busy) group.belief.suspect(`dial failed: ${granted.val}`);
+            return failStatement(granted.val === ErrorKind.TimedOut ? ErrorKind.Other : granted.val, Diagnostics.overloaded, req.workClass.targetMs);
+        }
+        const connection = granted.val;
+        const sentAt = this.clock.now();
+        let answer: UpstreamAnswer | undefined;
+        try {
+            const preparedName = yield* this.prepare(req, statement, connection);
+            if (statement.kind === StatementKind.Execute && preparedName === undefined) return failStatement(ErrorKind.Other, Diagnostics.overloaded, req.workClass.targetMs);
+            answer = yield* connection.run({
+                kind: CommandKind.Forward,
+                id: statement.id,
+                text: statement.text,
+                preparedName,
+                name: statement.name,
+                floor: req.readOnly ? target.floor : undefined,
+            }, Math.max(1, deadline - this.clock.now()));
+        }
+        finally {
+            if (answer === undefined || answer.state !== TransactionState.Idle) target.pool.discard(connection);
+            target.pool.release(connection);
+        }
+        if (answer === undefined) return this.noteLostAnswer(group, target);
+        return yield* this.finish(group, req, target, answer, sentAt, deadline);
+    }
+
+    private *prepare(req: ServedRequest, statement: CallerStatement, connection: UpstreamConnection): Operation<string | undefined> {
+        if (statement.kind !== StatementKind.Execute) return undefined;
+        const prepared = req.session.prepared.get(statement.name)!;
+        return yield* connection.prepare(prepared.shape, prepared.readOnly);
+    }
+
+    private noteLostAnswer(group: ServiceGroup, target: Target): StatementOutcome {
+        target.pool.noteFailure();
+        if (target.primaryTerm !== undefined) group.belief.suspect("an answer of the primary was lost");
+        return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
+    }
+
+    private *finish(
+        group: ServiceGroup,
+        req: ServedRequest,
+        target: Target,
+        answer: UpstreamAnswer,
+        sentAt: number,
+        deadline: number,
+    ): Operation<StatementOutcome> {
+        target.pool.noteAnswer(answer.applied);
+        if (answer.error !== undefined) {
+            if (answer.error === ErrorKind.ReadOnly) group.belief.suspect("the primary refused a write");
+            return failStatement(answer.error, Diagnostics.upstreamFailed, answer.errorText);
+        }
+        if (!req.readOnly && target.primaryTerm !== undefined) {
+            if (answer.applied === undefined || !(yield* this.confirmer.confirm(group, target.primaryTerm, answer.applied, deadline))) {
+                return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
+            }
+            req.floors.raise(req.workClass.service, answer.applied);
+        }
+        else if (req.workClass.freshness === Freshness.Latest && target.provenAt !== undefined && answer.applied?.term === target.primaryTerm) {
+            group.samples.add(Math.min(target.provenAt, sentAt), answer.applied!);
+        }
+        return { rows: answer.rows, receipt: answer.receipt, error: undefined, text: "" };
+    }
+}
--- /dev/null
+++ b/packages/session/src/failover/chooseCandidate.ts
@@ -0,0 +1,13 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { GroupReport } from "./groupReport";
+
+function compareReports(first: GroupReport, second: GroupReport): number {
+    const byLog = compareLogPositions(second.status!.received, first.status!.received);
+    if (byLog !== 0) return byLog;
+    return Number(first.pool.entry.isLeaving) - Number(second.pool.entry.isLeaving);
+}
+
+/** Chooses the upstream with the most complete log among those that answered; at equal logs one that is not leaving. */
+export function chooseCandidate(reports: readonly GroupReport[]): GroupReport | undefined {
+    return reports.filter(report => report.status !== undefined).sort(compareReports)[0];
+}
--- /dev/null
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -0,0 +1,114 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
+import { sleep } from "@vanillarouter/base/sleep";
+import { createHash } from "node:crypto";
+import { ClusterState } from "../cluster/clusterState";
+import { ServiceGroup } from "../cluster/serviceGroup";
+import { SuspensionDetector } from "../freshness/suspensionDetector";
+import { CommandKind } from "../model/commandKind";
+import { collectReports } from "./collectReports";
+import { findPrimaryReport } from "./findPrimaryReport";
+import { GroupReport } from "./groupReport";
+import { Promotion } from "./promotion";
+
+const statusTimeoutMs = 600;
+const examinePauseMs = 120;
+/** A group without a primary, or with one that leaves, is left alone for this time, so that one lost answer changes nothing. */
+const leastOutageMs = 350;
+/** VMs try one after another, in an order that differs by group. */
+const stepPerVmMs = 350;
+/** A fence that stays for this time was left behind by a promotion that did not finish. */
+const abandonedFenceMs = 2_600;
+
+/** Follows the primary of one group and replaces it when it is gone, unreachable or leaving. */
+export class GroupWatcher {
+    private troubleSince: number | undefined;
+    private trouble = "";
+    private readonly seenContradictions = new Set<string>();
+
+    private constructor(
+        private readonly group: ServiceGroup,
+        private readonly cluster: ClusterState,
+        private readonly clock: Clock,
+        private readonly suspension: SuspensionDetector,
+        private readonly promotion: Promotion,
+    ) {}
+
+    public static create(group: ServiceGroup, cluster: ClusterState, clock: Clock, suspension: SuspensionDetector, promotion: Promotion): GroupWatcher {
+        return new GroupWatcher(group, cluster, clock, suspension, promotion);
+    }
+
+    public *run(): Operation<never> {
+        for (;;) {
+            this.checkEntries();
+            if (!this.group.belief.isSuspected) {
+                this.troubleSince = undefined;
+                yield* race([this.group.belief.suspected.wait(), this.cluster.upstreamsChanged.wait()]);
+                continue;
+            }
+            yield* this.examine();
+            if (this.group.belief.isSuspected) yield* sleep(this.clock, examinePauseMs);
+        }
+    }
+
+    /** Compares what upstreams say in service discovery with the primary in use. */
+    private checkEntries(): void {
+        const reason = this.findContradiction();
+        if (reason === undefined) return;
+        // A contradiction may stay listed while the upstream is cut off, so each one is looked at once.
+        const key = `${reason} ${this.group.belief.primary?.term}`;
+        if (this.seenContradictions.has(key)) return;
+        this.seenContradictions.add(key);
+        this.group.belief.suspect(reason);
+    }
+
+    private findContradiction(): string | undefined {
+        const belief = this.group.belief;
+        const entries = this.cluster.listUpstreams(this.group.service);
+        const primary = entries.find(entry => entry.id === belief.primary?.id);
+        if (primary === undefined) return `primary ${belief.primary?.id} is not listed`;
+        if (primary.isLeaving) return `primary ${primary.id} is leaving`;
+        if (!primary.claimsPrimary) return `primary ${primary.id} is listed as a replica`;
+        const rival = entries.find(entry => entry.claimsPrimary && entry !== primary);
+        return rival === undefined ? undefined : `upstream ${rival.id} is listed as primary`;
+    }
+
+    private *examine(): Operation<void> {
+        const pools = this.group.pools.list(this.group.service);
+        if (pools.length === 0) return;
+        const generation = this.suspension.check();
+        const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs);
+        if (this.suspension.check() !== generation) return;
+        const primary = findPrimaryReport(reports);
+        const trouble = this.findTrouble(reports, primary);
+        if (primary !== undefined && trouble !== "fenced") this.group.belief.confirm(primary.pool.entry.id, primary.status!.term);
+        if (trouble === undefined) {
+            this.troubleSince = undefined;
+            return;
+        }
+        if (trouble !== this.trouble) this.troubleSince = undefined;
+        this.trouble = trouble;
+        this.troubleSince ??= this.clock.now();
+        const patienceMs = (trouble === "fenced" ? abandonedFenceMs : leastOutageMs) + this.computeOrder() * stepPerVmMs;
+        if (trouble !== "fenced" && primary !== undefined) this.group.belief.suspect(trouble);
+        if (this.clock.now() - this.troubleSince < patienceMs) return;
+        const previous = primary?.pool.entry.id ?? this.group.belief.primary?.id;
+        if (yield* this.promotion.run(reports, previous, trouble)) this.troubleSince = undefined;
+    }
+
+    private findTrouble(reports: readonly GroupReport[], primary: GroupReport | undefined): string | undefined {
+        if (primary === undefined) return "no primary answers";
+        if (reports.some(report => report !== primary && report.status !== undefined && report.status.fenceTerm > primary.status!.term)) return "fenced";
+        const hasSuccessor = reports.some(report => report !== primary && report.status !== undefined && !report.pool.entry.isLeaving);
+        if (primary.pool.entry.isLeaving && hasSuccessor) return "the primary is leaving";
+        return undefined;
+    }
+
+    /** Returns this VM's place in the group's order of VMs. */
+    private computeOrder(): number {
+        const hash = (id: string): string => createHash("sha1").update(`${this.group.service} ${id}`).digest("hex");
+        const ids = [...this.cluster.memberIds].sort((first, second) => hash(first) < hash(second) ? -1 : 1);
+        return ids.indexOf(this.cluster.vmId);
+    }
+}
--- /dev/null
+++ b/packages/session/src/freshness/suspensionDetector.ts
@@ -0,0 +1,29 @@
+import { Clock } from "@vanillarouter/base/clock";
+
+/** Larger differences between the two clocks mean that the process was suspended or the time of day was set. */
+const toleranceMs = 60;
+
+/**
+ * Detects that the VM was suspended. The monotonic clock leaves that time out and the time of day does not, so knowledge
+ * that is valid for a time may be older than the monotonic clock says.
+ */
+export class SuspensionDetector {
+    private offsetMs: number;
+    private generation = 0;
+
+    private constructor(private readonly clock: Clock, private readonly readTimeOfDay: () => number) {
+        this.offsetMs = readTimeOfDay() - clock.now();
+    }
+
+    public static create(clock: Clock, readTimeOfDay: () => number = Date.now): SuspensionDetector {
+        return new SuspensionDetector(clock, readTimeOfDay);
+    }
+
+    /** Returns a number that changes whenever a suspension or a step of the time of day is detected. */
+    public check(): number {
+        const offsetMs = this.readTimeOfDay() - this.clock.now();
+        if (Math.abs(offsetMs - this.offsetMs) > toleranceMs) this.generation++;
+        this.offsetMs = offsetMs;
+        return this.generation;
+    }
+}
--- /dev/null
+++ b/packages/session/src/model/commandKind.ts
@@ -0,0 +1,17 @@
+/** Commands to an upstream. */
+export enum CommandKind {
+    /** A caller's statement. */
+    Forward,
+    Begin,
+    Rollback,
+    Reset,
+    SetValue,
+    Prepare,
+    Status,
+    /** Stop receiving entries of terms below the given one. */
+    Fence,
+    /** Lift a fence. */
+    Unfence,
+    /** Become a replica if the own term is lower than the given one. */
+    Demote,
+}
--- /dev/null
+++ b/packages/session/src/model/errorKind.ts
@@ -0,0 +1,20 @@
+/** Errors that upstreams answer with and that callers receive. */
+export enum ErrorKind {
+    Busy = "busy",
+    /** The transaction was rolled back; nothing of it is kept. */
+    Aborted = "aborted",
+    /** The log of the upstream lacks the requested position. */
+    Lagging = "lagging",
+    ReadOnly = "read-only",
+    Misrouted = "misrouted",
+    TooManyConnections = "too many connections",
+    /** The statement may have run. */
+    UnknownOutcome = "unknown outcome",
+    TimedOut = "timed out",
+    Failed = "failed",
+    NoStatement = "no such statement",
+    NoDatabase = "no such database",
+    Malformed = "malformed",
+    TooBig = "too big",
+    Other = "other",
+}
--- /dev/null
+++ b/packages/session/src/model/statementKind.ts
@@ -0,0 +1,13 @@
+/** What a caller's statement asks for. */
+export enum StatementKind {
+    Begin = "begin",
+    Commit = "commit",
+    Rollback = "rollback",
+    Read = "read",
+    Write = "write",
+    SetValue = "set",
+    Prepare = "prepare",
+    Execute = "execute",
+    Deallocate = "deallocate",
+    Malformed = "malformed",
+}
--- /dev/null
+++ b/packages/session/src/upstream/upstreamConnection.ts
@@ -0,0 +1,81 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { SessionValues } from "../entry/sessionValues";
+import { CommandKind } from "../model/commandKind";
+import { TransactionState } from "../model/transactionState";
+import { UpstreamAnswer } from "../model/upstreamAnswer";
+import { UpstreamCommand } from "../model/upstreamCommand";
+import { UpstreamLink } from "../model/upstreamLink";
+
+/** Commands that set up a connection take no slot, so a longer wait means a lost connection. */
+const setupTimeoutMs = 800;
+
+/** A pooled connection with the session values and prepared statements that it holds at the moment. */
+export class UpstreamConnection {
+    public idleSince = 0;
+    private readonly values = new Map<string, string>();
+    private readonly prepared = new Set<string>();
+
+    private constructor(public readonly link: UpstreamLink) {}
+
+    public static create(link: UpstreamLink): UpstreamConnection {
+        return new UpstreamConnection(link);
+    }
+
+    /** Returns how many commands it takes to give this connection the session's values. */
+    public countSetupCommands(session: SessionValues): number {
+        let count = 0;
+        for (const name of this.values.keys()) {
+            if (!session.values.has(name)) return session.values.size + 1;
+        }
+        for (const [name, value] of session.values) {
+            if (this.values.get(name) !== value) count++;
+        }
+        return count;
+    }
+
+    /** Gives the connection exactly the session's values. Returns false, with the connection closed, if it failed. */
+    public *adopt(session: SessionValues): Operation<boolean> {
+        const hasForeignValue = [...this.values.keys()].some(name => !session.values.has(name));
+        if (hasForeignValue && !(yield* this.setUp({ kind: CommandKind.Reset }))) return false;
+        if (hasForeignValue) this.forget();
+        for (const [name, text] of session.values) {
+            if (this.values.get(name) === text) continue;
+            if (!(yield* this.setUp({ kind: CommandKind.SetValue, name, text }))) return false;
+            this.values.set(name, text);
+        }
+        return true;
+    }
+
+    /** Prepares a shape unless the connection holds it. Returns its name at the upstream, or undefined on failure. */
+    public *prepare(shape: string, readOnly: boolean): Operation<string | undefined> {
+        const name = (readOnly ? "r" : "w") + shape;
+        if (this.prepared.has(name)) return name;
+        if (!(yield* this.setUp({ kind: CommandKind.Prepare, name, text: shape, readOnly }))) return undefined;
+        this.prepared.add(name);
+        return name;
+    }
+
+    public run(command: UpstreamCommand, timeoutMs: number): Operation<UpstreamAnswer | undefined> {
+        return this.link.run(command, timeoutMs);
+    }
+
+    /** Rolls back an open transaction. Returns whether the connection can be used again. */
+    public *rollBack(): Operation<boolean> {
+        const answer = yield* this.link.run({ kind: CommandKind.Rollback }, setupTimeoutMs);
+        if (answer !== undefined && answer.error === undefined && answer.state === TransactionState.Idle) return true;
+        this.link.close();
+        return false;
+    }
+
+    private *setUp(command: UpstreamCommand): Operation<boolean> {
+        const answer = yield* this.link.run(command, setupTimeoutMs);
+        if (answer !== undefined && answer.error === undefined) return true;
+        this.link.close();
+        return false;
+    }
+
+    private forget(): void {
+        this.values.clear();
+        this.prepared.clear();
+    }
+}
--- /dev/null
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -0,0 +1,272 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Err, Ok, Result } from "ts-results";
+import { CommandKind } from "../model/commandKind";
+import { ErrorKind } from "../model/errorKind";
+import { TransactionState } from "../model/transactionState";
+import { UpstreamDialer } from "../model/upstreamDialer";
+import { UpstreamEntry } from "../model/upstreamEntry";
+import { UpstreamStatus } from "../model/upstreamStatus";
+import { SlotRequest } from "./slotRequest";
+import { UpstreamConnection } from "./upstreamConnection";
+import { WaitQueue } from "./waitQueue";
+
+const dialTimeoutMs = 700;
+/** After a refusal for too many connections, other VMs need time to close idle ones. */
+const tooManyPauseMs = 150;
+/** After a failed dial the upstream is left alone for this time. */
+const failedDialPauseMs = 250;
+const keptIdleConnections = 2;
+
+/** The connections of this VM to one upstream, handed out by rank. */
+export class UpstreamPool {
+    public applied: LogPosition | undefined;
+    /** Consecutive failures to get an answer. */
+    public failures = 0;
+    public lastAnswerAt = Number.NEGATIVE_INFINITY;
+    private readonly idle: UpstreamConnection[] = [];
+    private readonly open = new Set<UpstreamConnection>();
+    private readonly queue = WaitQueue.create<void>();
+    private running = 0;
+    private dialing = 0;
+    private closedUntil = Number.NEGATIVE_INFINITY;
+    private closed = false;
+
+    private constructor(
+        private current: UpstreamEntry,
+        private readonly clock: Clock,
+        private readonly dialer: UpstreamDialer,
+        private readonly getConnectionLimit: () => number,
+    ) {}
+
+    public static create(entry: UpstreamEntry, clock: Clock, dialer: UpstreamDialer, getConnectionLimit: () => number): UpstreamPool {
+        return new UpstreamPool(entry, clock, dialer, getConnectionLimit);
+    }
+
+    public get entry(): UpstreamEntry {
+        return this.current;
+    }
+
+    /** Takes over a changed entry of the same process. */
+    public update(entry: UpstreamEntry): void {
+        this.current = entry;
+    }
+
+    public get load(): number {
+        return (this.running + this.queue.size) / Math.max(1, this.entry.slots);
+    }
+
+    public get openConnections(): number {
+        return this.open.size + this.dialing;
+    }
+
+    public get isUnreachable(): boolean {
+        return this.clock.now() < this.closedUntil && this.open.size === 0;
+    }
+
+    /** Waits for a slot and a connection that has the session's values. Every granted connection must be released. */
+    public *acquire(request: SlotRequest): Operation<Result<UpstreamConnection, ErrorKind>> {
+        if (!(yield* this.waitForSlot(request))) return Err(ErrorKind.Busy);
+        this.running++;
+        let granted = false;
+        try {
+            while (!this.closed) {
+                const connection = yield* this.obtainConnection(request);
+                if (connection.err) return connection;
+                if (yield* connection.val.adopt(request.session)) {
+                    granted = true;
+                    return connection;
+                }
+                this.discard(connection.val);
+            }
+            return Err(ErrorKind.Other);
+        }
+        finally {
+            if (!granted) this.endStatement();
+        }
+    }
+
+    /** Gives up the slot of a connection that stays with its transaction. */
+    public pauseStatement(): void {
+        this.endStatement();
+    }
+
+    /** Takes a slot for the next statement of a transaction; these never wait, because they hold a connection. */
+    public resumeStatement(): void {
+        this.running++;
+    }
+
+    /** Returns a connection with its slot. */
+    public release(connection: UpstreamConnection): void {
+        this.running--;
+        this.returnConnection(connection);
+        this.wakeWaiters();
+    }
+
+    /** Returns a connection whose slot was given up by `pauseStatement`. */
+    public returnConnection(connection: UpstreamConnection): void {
+        if (!connection.link.isOpen || this.closed || !this.open.has(connection)) {
+            this.discard(connection);
+            return;
+        }
+        connection.idleSince = this.clock.now();
+        this.idle.push(connection);
+        if (this.idle.length > keptIdleConnections && this.queue.size === 0 && this.open.size > this.getConnectionLimit() / 2) this.discard(this.idle.shift()!);
+        this.wakeWaiters();
+    }
+
+    public discard(connection: UpstreamConnection): void {
+        const index = this.idle.indexOf(connection);
+        if (index >= 0) this.idle.splice(index, 1);
+        this.open.delete(connection);
+        connection.link.close();
+        this.wakeWaiters();
+    }
+
+    /** Asks the upstream for its status, or fences or demotes it. Undefined without an answer in time. */
+    public *runControl(kind: CommandKind, timeoutMs: number, term?: number): Operation<UpstreamStatus | undefined> {
+        return yield* withTimeout(this.clock, timeoutMs, this.runControlCommand(kind, timeoutMs, term));
+    }
+
+    /** Records the log position that an answer carried. */
+    public noteAnswer(applied: LogPosition | undefined): void {
+        this.failures = 0;
+        this.lastAnswerAt = this.clock.now();
+        if (applied !== undefined && (this.applied === undefined || compareLogPositions(applied, this.applied) !== 0)) this.applied = applied;
+    }
+
+    public noteFailure(): void {
+        this.failures++;
+    }
+
+    /** Closes every connection. Statements in flight end without an answer. */
+    public close(): void {
+        this.closed = true;
+        for (const connection of [...this.open]) this.discard(connection);
+    }
+
+    /** Closes idle connections that were not used for `maxIdleMs`. */
+    public closeIdle(maxIdleMs: number): void {
+        const oldest = this.clock.now() - maxIdleMs;
+        for (const connection of this.idle.filter(each => each.idleSince < oldest).slice(1)) this.discard(connection);
+    }
+
+    private *runControlCommand(kind: CommandKind, timeoutMs: number, term: number | undefined): Operation<UpstreamStatus | undefined> {
+        let connection = this.idle.pop();
+        if (connection === undefined) {
+            const dialed = yield* this.dial();
+            if (dialed.err) return undefined;
+            connection = dialed.val;
+        }
+        let usable = false;
+        try {
+            const answer = yield* connection.run({ kind, term }, timeoutMs);
+            if (answer === undefined) {
+                this.noteFailure();
+                return undefined;
+            }
+            usable = answer.state === TransactionState.Idle;
+            this.noteAnswer(answer.applied);
+            return connection.link.readStatus(answer);
+        }
+        finally {
+            if (usable) this.returnConnection(connection);
+            else this.discard(connection);
+        }
+    }
+
+    private *waitForSlot(request: SlotRequest): Operation<boolean> {
+        while (!this.mayRun(request.rank)) {
+            const remainingMs = request.giveUpAt - this.clock.now();
+            if (remainingMs <= 0 || this.closed) return false;
+            const woken = yield* withTimeout(this.clock, remainingMs, this.waitInQueue(request.rank));
+            if (woken === undefined) return false;
+        }
+        return true;
+    }
+
+    private *waitInQueue(rank: number): Operation<boolean> {
+        yield* perform<void>({ start: resume => this.queue.add(rank, resume) });
+        return true;
+    }
+
+    /** The most urgent rank may fill the upstream's slots from one VM; each lower rank keeps fewer statements there. */
+    private mayRun(rank: number): boolean {
+        return this.running < Math.max(1, Math.ceil(this.entry.slots / (1 + rank)));
+    }
+
+    private *obtainConnection(request: SlotRequest): Operation<Result<UpstreamConnection, ErrorKind>> {
+        for (;;) {
+            const idle = this.takeIdle(request);
+            if (idle !== undefined) return Ok(idle);
+            const now = this.clock.now();
+            if (this.closed || now >= request.giveUpAt) return Err(ErrorKind.Busy);
+            if (this.openConnections < this.getConnectionLimit() && now >= this.closedUntil) {
+                const dialed = yield* this.dial();
+                if (dialed.ok) return dialed;
+                if (dialed.val !== ErrorKind.TooManyConnections) return dialed;
+                continue;
+            }
+            if (this.open.size === 0 && now < this.closedUntil) return Err(ErrorKind.Other);
+            const waitMs = Math.min(request.giveUpAt - now, tooManyPauseMs);
+            yield* withTimeout(this.clock, Math.max(1, waitMs), this.waitInQueue(request.rank));
+        }
+    }
+
+    private takeIdle(request: SlotRequest): UpstreamConnection | undefined {
+        let best: UpstreamConnection | undefined;
+        let bestCost = Number.POSITIVE_INFINITY;
+        for (const connection of this.idle) {
+            const cost = connection.countSetupCommands(request.session);
+            if (cost <= bestCost) {
+                best = connection;
+                bestCost = cost;
+            }
+        }
+        if (best !== undefined) this.idle.splice(this.idle.indexOf(best), 1);
+        return best;
+    }
+
+    private *dial(): Operation<Result<UpstreamConnection, ErrorKind>> {
+        this.dialing++;
+        try {
+            const link = yield* this.dialer.dial(this.entry, dialTimeoutMs);
+            if (link.err) {
+                this.noteDialFailure(link.val);
+                return link;
+            }
+            const connection = UpstreamConnection.create(link.val);
+            if (this.closed) {
+                link.val.close();
+                return Err(ErrorKind.Other);
+            }
+            this.noteAnswer(undefined);
+            this.open.add(connection);
+            link.val.onClosed(() => this.discard(connection));
+            return Ok(connection);
+        }
+        finally {
+            this.dialing--;
+        }
+    }
+
+    private noteDialFailure(error: ErrorKind): void {
+        const pauseMs = error === ErrorKind.TooManyConnections ? tooManyPauseMs : failedDialPauseMs;
+        this.closedUntil = this.clock.now() + pauseMs;
+        if (error !== ErrorKind.TooManyConnections && error !== ErrorKind.Busy) this.noteFailure();
+    }
+
+    private endStatement(): void {
+        this.running--;
+        this.wakeWaiters();
+    }
+
+    private wakeWaiters(): void {
+        const rank = this.queue.firstRank;
+        if (rank !== undefined) this.queue.wakeFirst(undefined);
+    }
+}
--- /dev/null
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -0,0 +1,71 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { ClusterState } from "../cluster/clusterState";
+import { UpstreamDialer } from "../model/upstreamDialer";
+import { UpstreamEntry } from "../model/upstreamEntry";
+import { UpstreamPool } from "./upstreamPool";
+
+/** Part of an upstream's connection limit that VMs share out; the rest absorbs joins and lists that differ. */
+const sharedPart = 0.9;
+const leastConnections = 2;
+/** Connection limit of a service whose configuration has not arrived. */
+const unknownConnectionLimit = 16;
+
+/** The pools of all upstreams that service discovery lists. */
+export class UpstreamPools {
+    private readonly pools = new Map<string, UpstreamPool>();
+
+    private constructor(private readonly cluster: ClusterState, private readonly clock: Clock, private readonly dialer: UpstreamDialer) {}
+
+    public static create(cluster: ClusterState, clock: Clock, dialer: UpstreamDialer): UpstreamPools {
+        return new UpstreamPools(cluster, clock, dialer);
+    }
+
+    public list(service: string): readonly UpstreamPool[] {
+        return this.cluster.listUpstreams(service).map(entry => this.obtain(entry));
+    }
+
+    public find(id: string): UpstreamPool | undefined {
+        const entry = this.cluster.findUpstream(id);
+        return entry === undefined ? undefined : this.obtain(entry);
+    }
+
+    public get all(): readonly UpstreamPool[] {
+        return [...this.pools.values()];
+    }
+
+    /** Closes the pools of upstreams that are no longer listed, and idle connections that are not needed. */
+    public tidy(maxIdleMs: number): void {
+        for (const [id, pool] of this.pools) {
+            if (this.cluster.findUpstream(id) === undefined) {
+                // Statements in flight keep their connection; nothing new is sent here.
+                this.pools.delete(id);
+                pool.closeIdle(0);
+            }
+            else {
+                pool.closeIdle(maxIdleMs);
+            }
+        }
+    }
+
+    private obtain(entry: UpstreamEntry): UpstreamPool {
+        const known = this.pools.get(entry.id);
+        if (known !== undefined && known.entry === entry) return known;
+        if (known !== undefined && this.isSameUpstream(known.entry, entry)) {
+            known.update(entry);
+            return known;
+        }
+        known?.close();
+        const pool = UpstreamPool.create(entry, this.clock, this.dialer, () => this.computeConnectionLimit(entry.service));
+        this.pools.set(entry.id, pool);
+        return pool;
+    }
+
+    private isSameUpstream(first: UpstreamEntry, second: UpstreamEntry): boolean {
+        return first.host === second.host && first.port === second.port && first.startedAtMs === second.startedAtMs && first.service === second.service;
+    }
+
+    private computeConnectionLimit(service: string): number {
+        const limit = this.cluster.configuration?.services.get(service)?.maxConnections ?? unknownConnectionLimit;
+        return Math.max(leastConnections, Math.floor(limit * sharedPart / this.cluster.memberIds.length));
+    }
+}
