Ask the other replica when the first does not prove the primary

Cause: after a zone was cut, the second attempt of a proof asked the same silent replica again, because two counters moved the choice. Reads needed proofs and failed for seconds after the promotion. Ruled out: a fence that stays on the replica after a promotion (STATUS shows none) and an overloaded primary (STATUS in 1-4 ms).

--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -28,7 +28,7 @@
         log: bunyan,
     ) {
         this.belief = PrimaryBelief.create(service, log);
-        this.prover = PrimaryProver.create(service, clock, pools, this.belief);
+        this.prover = PrimaryProver.create(service, clock, pools, this.belief, pools.zone);
         this.samples = PositionSamples.create(clock, suspension);
     }
 
@@ -36,6 +36,12 @@
         return new ServiceGroup(service, clock, pools, suspension, log);
     }
 
+    /** Whether this VM reaches too few upstreams to prove anything about the primary or to replace it. */
+    public get isIsolated(): boolean {
+        const pools = this.pools.list(this.service);
+        return pools.length > 1 && pools.filter(pool => pool.isReachable).length <= pools.length / 2;
+    }
+
     /** Returns the pool of the primary, if it is known and listed. */
     public findPrimary(): { readonly pool: UpstreamPool; readonly term: number } | undefined {
         const primary = this.belief.primary;
@@ -52,7 +58,7 @@
             if (this.samples.newestAgeMs > maxAgeMs / 2) this.startRefresh();
             const known = this.samples.findOldest(maxAgeMs);
             if (known !== undefined) return known;
-            if (this.clock.now() >= giveUpAt || this.refreshing === undefined) return undefined;
+            if (this.clock.now() >= giveUpAt || this.refreshing === undefined || this.isIsolated) return undefined;
             const refreshing = this.refreshing;
             yield* refreshing.join();
             if (this.samples.findOldest(maxAgeMs) === undefined) return undefined;
--- a/packages/session/src/cluster/serviceGroups.ts
+++ b/packages/session/src/cluster/serviceGroups.ts
@@ -21,6 +21,12 @@
         return new ServiceGroups(clock, pools, suspension, log, onCreated);
     }
 
+    /** Whether this VM can serve only a minority of the groups. */
+    public get isIsolated(): boolean {
+        const groups = [...this.groups.values()];
+        return groups.length > 0 && groups.filter(group => group.isIsolated).length > groups.length / 2;
+    }
+
     public obtain(service: string): ServiceGroup {
         const known = this.groups.get(service);
         if (known !== undefined) return known;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -62,6 +62,7 @@
                 const statement = yield* this.receive();
                 if (statement === undefined) return;
                 yield* this.serve(statement, this.context.clock.now());
+                if (this.state === TransactionState.Idle && this.context.shutdown.closesAnswered) return;
             }
         }
         finally {
@@ -179,6 +180,6 @@
         const latencyMs = this.context.clock.now() - receivedAt;
         this.context.metrics.record(workClass, outcome.error, latencyMs);
         if (outcome.error === undefined) return;
-        this.context.log.info({ req: statement.id, class: workClass, kind: statement.kind, error: outcome.error, ms: Math.round(latencyMs), text: outcome.text }, "statement.failed");
+        this.context.log.info({ req: statement.id, class: workClass, service: this.findClass()?.service, kind: statement.kind, error: outcome.error, ms: Math.round(latencyMs), text: outcome.text }, "statement.failed");
     }
 }
--- a/packages/session/src/entry/shutdown.ts
+++ b/packages/session/src/entry/shutdown.ts
@@ -6,6 +6,7 @@
     private readonly idleClose = Signal.create<void>();
     private readonly transactionClose = Signal.create<void>();
     private idleClosed = false;
+    private answeredClosed = false;
     private transactionsClosed = false;
 
     private constructor() {}
@@ -14,6 +15,21 @@
         return new Shutdown();
     }
 
+    /** Sessions end from now on when they have been answered, so that no caller is about to send. */
+    public closeAnsweredSessions(): void {
+        this.answeredClosed = true;
+    }
+
+    /** Sessions stay open again. Those that were closed reconnect. */
+    public cancel(): void {
+        this.answeredClosed = false;
+        this.idleClosed = false;
+    }
+
+    public get closesAnswered(): boolean {
+        return this.answeredClosed;
+    }
+
     /** Idle sessions end from now on. */
     public closeIdleSessions(): void {
         this.idleClosed = true;
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -23,6 +23,9 @@
 const retryPauseMs = 8;
 /** Share of the statement timeout that an operation may wait for a place to run; the rest is for the run itself. */
 const waitShare = 0.7;
+/** A read tries another upstream after this share of its target, and not before `leastReadAttemptMs`. */
+const readAttemptShare = 0.75;
+const leastReadAttemptMs = 300;
 
 /** Runs single statements: finds an upstream, runs, repeats what is known not to have run and confirms writes. */
 export class StatementRunner {
@@ -111,7 +114,7 @@
                 preparedName,
                 name: statement.name,
                 floor: req.readOnly ? target.floor : undefined,
-            }, Math.max(1, deadline - this.clock.now()));
+            }, this.limitAttempt(req, deadline));
         }
         finally {
             if (answer === undefined || answer.state !== TransactionState.Idle) target.pool.discard(connection);
@@ -127,6 +130,14 @@
         return yield* connection.prepare(prepared.shape, prepared.readOnly);
     }
 
+    private limitAttempt(req: ServedRequest, deadline: number): number {
+        const remainingMs = Math.max(1, deadline - this.clock.now());
+        if (!req.readOnly) return remainingMs;
+        const attemptMs = Math.max(leastReadAttemptMs, req.workClass.targetMs * readAttemptShare);
+        // A second attempt is worth it only if it has as much time as the first.
+        return remainingMs >= 2 * attemptMs ? attemptMs : remainingMs;
+    }
+
     private noteLostAnswer(group: ServiceGroup, target: Target): StatementOutcome {
         target.pool.noteFailure();
         if (target.primaryTerm !== undefined) group.belief.suspect("an answer of the primary was lost");
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -48,7 +48,7 @@
             const primary = group.findPrimary();
             if (primary !== undefined) return primary;
             const remainingMs = giveUpAt - this.clock.now();
-            if (remainingMs <= 0) return undefined;
+            if (remainingMs <= 0 || group.isIsolated) return undefined;
             yield* withTimeout(this.clock, Math.min(remainingMs, 200), group.belief.changed.wait());
         }
     }
@@ -56,7 +56,7 @@
     private *proveLatest(group: ServiceGroup, req: ServedRequest, giveUpAt: number): Operation<Target | undefined> {
         for (;;) {
             const primary = yield* this.awaitPrimary(group, giveUpAt);
-            if (primary === undefined) return undefined;
+            if (primary === undefined || group.isIsolated) return undefined;
             const proof = yield* group.prover.prove(primary.term, req.receivedAt, giveUpAt);
             if (proof !== undefined) return { pool: primary.pool, floor: undefined, primaryTerm: primary.term, provenAt: proof.askedAt };
             if (this.clock.now() >= giveUpAt) return undefined;
@@ -67,7 +67,7 @@
     private *awaitFloor(group: ServiceGroup, req: ServedRequest, giveUpAt: number): Operation<LogPosition | undefined> {
         for (;;) {
             const floor = yield* group.obtainFloor(req.workClass.maxAgeMs - arrivalMarginMs, giveUpAt);
-            if (floor !== undefined || this.clock.now() >= giveUpAt) return floor;
+            if (floor !== undefined || this.clock.now() >= giveUpAt || group.isIsolated) return floor;
             yield* sleep(this.clock, proofRetryMs);
         }
     }
--- a/packages/session/src/entry/writeConfirmer.ts
+++ b/packages/session/src/entry/writeConfirmer.ts
@@ -6,8 +6,8 @@
 import { ServiceGroup } from "../cluster/serviceGroup";
 
 /** How long a commit waits for a second copy before the proof that its primary is current has to do. */
-const secondCopyMs = 40;
-const retryMs = 10;
+const secondCopyMs = 12;
+const retryMs = 12;
 
 /**
  * Decides whether a commit may be acknowledged.
--- a/packages/session/src/failover/collectReports.ts
+++ b/packages/session/src/failover/collectReports.ts
@@ -4,10 +4,25 @@
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { GroupReport } from "./groupReport";
 
-/** Sends one control command to several upstreams at once and collects their answers, in the order of the pools. */
-export function* collectReports(pools: readonly UpstreamPool[], kind: CommandKind, timeoutMs: number, term?: number): Operation<readonly GroupReport[]> {
-    const tasks = pools.map(pool => Task.start(pool.runControl(kind, timeoutMs, term)));
+function* runControl(pool: UpstreamPool, kind: CommandKind, timeoutMs: number, term: number | undefined, onReport: (report: GroupReport) => void): Operation<GroupReport> {
+    const report = { pool, status: yield* pool.runControl(kind, timeoutMs, term) };
+    onReport(report);
+    return report;
+}
+
+/**
+ * Sends one control command to several upstreams at once and collects their answers, in the order of the pools.
+ * `onReport` is called for each as soon as it is known.
+ */
+export function* collectReports(
+    pools: readonly UpstreamPool[],
+    kind: CommandKind,
+    timeoutMs: number,
+    term?: number,
+    onReport: (report: GroupReport) => void = () => {},
+): Operation<readonly GroupReport[]> {
+    const tasks = pools.map(pool => Task.start(runControl(pool, kind, timeoutMs, term, onReport)));
     const reports: GroupReport[] = [];
-    for (const [index, task] of tasks.entries()) reports.push({ pool: pools[index]!, status: yield* task.join() });
+    for (const task of tasks) reports.push(yield* task.join());
     return reports;
 }
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -12,12 +12,12 @@
 import { GroupReport } from "./groupReport";
 import { Promotion } from "./promotion";
 
-const statusTimeoutMs = 600;
-const examinePauseMs = 120;
+const statusTimeoutMs = 400;
+const examinePauseMs = 60;
 /** A group without a primary, or with one that leaves, is left alone for this time, so that one lost answer changes nothing. */
-const leastOutageMs = 350;
+const leastOutageMs = 300;
 /** VMs try one after another, in an order that differs by group. */
-const stepPerVmMs = 350;
+const stepPerVmMs = 40;
 /** A fence that stays for this time was left behind by a promotion that did not finish. */
 const abandonedFenceMs = 2_600;
 
@@ -78,13 +78,14 @@
         const pools = this.group.pools.list(this.group.service);
         if (pools.length === 0) return;
         const generation = this.suspension.check();
-        const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs);
+        const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs, undefined, report => this.noteReport(report));
         if (this.suspension.check() !== generation) return;
         const primary = findPrimaryReport(reports);
         const trouble = this.findTrouble(reports, primary);
         if (primary !== undefined && trouble !== "fenced") this.group.belief.confirm(primary.pool.entry.id, primary.status!.term);
-        if (trouble === undefined) {
+        if (trouble === undefined || !this.mayReplace(reports, primary)) {
             this.troubleSince = undefined;
+            if (trouble !== undefined) this.group.belief.suspect(trouble);
             return;
         }
         if (trouble !== this.trouble) this.troubleSince = undefined;
@@ -97,6 +98,20 @@
         if (yield* this.promotion.run(reports, previous, trouble)) this.troubleSince = undefined;
     }
 
+    /** A new primary is used as soon as it answers, also while others do not. */
+    private noteReport(report: GroupReport): void {
+        const known = this.group.belief.primary;
+        if (report.status?.isPrimary === true && known !== undefined && report.status.term > known.term) this.group.belief.confirm(report.pool.entry.id, report.status.term);
+    }
+
+    /** A VM that cannot fence every other upstream is cut off itself, or cannot help. */
+    private mayReplace(reports: readonly GroupReport[], primary: GroupReport | undefined): boolean {
+        const previousId = primary?.pool.entry.id ?? this.group.belief.primary?.id;
+        const others = reports.filter(report => report.pool.entry.id !== previousId);
+        const silent = others.filter(report => report.status === undefined).length;
+        return others.length > 0 && silent < others.length && (silent === 0 || primary !== undefined);
+    }
+
     private findTrouble(reports: readonly GroupReport[], primary: GroupReport | undefined): string | undefined {
         if (primary === undefined) return "no primary answers";
         if (reports.some(report => report !== primary && report.status !== undefined && report.status.fenceTerm > primary.status!.term)) return "fenced";
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -11,6 +11,7 @@
 import { PromotionClaims } from "../model/promotionClaims";
 import { chooseCandidate } from "./chooseCandidate";
 import { collectReports } from "./collectReports";
+import { findPrimaryReport } from "./findPrimaryReport";
 import { GroupReport } from "./groupReport";
 
 /** A claim is used for this time only, and no other VM takes one over before `claimMinAgeMs`. */
@@ -57,10 +58,16 @@
         const generation = this.suspension.check();
         const fenceToken = yield* this.claims.take(service, claimMinAgeMs);
         if (fenceToken === undefined) return false;
-        const term = 1 + Math.max(...reports.map(report => Math.max(report.status?.term ?? 0, report.status?.fenceTerm ?? 0)));
+        // The examination may have been made before a partition healed or before another VM's promotion.
+        const current = yield* collectReports(reports.map(report => report.pool), CommandKind.Status, controlTimeoutMs);
+        if (this.isSettled(reports, current)) {
+            this.log.info({ service, reason, fenceToken }, "promotion.not-needed");
+            return true;
+        }
+        const term = 1 + Math.max(...current.map(report => Math.max(report.status?.term ?? 0, report.status?.fenceTerm ?? 0)));
         this.log.info({ service, reason, fenceToken, term, previous: primaryId }, "promotion.started");
-        const old = reports.find(report => report.pool.entry.id === primaryId);
-        const others = reports.filter(report => report !== old).map(report => report.pool);
+        const old = current.find(report => report.pool.entry.id === primaryId);
+        const others = current.filter(report => report !== old).map(report => report.pool);
         const demoted = yield* this.demote(old, term);
         if (demoted !== undefined) yield* this.awaitCatchUp(others.map(pool => pool.entry.id), demoted);
         const fenced = yield* collectReports(others, CommandKind.Fence, controlTimeoutMs, term);
@@ -79,6 +86,13 @@
         return yield* this.awaitPrimary(candidate, term, startedAt);
     }
 
+    /** Whether a primary answers that did not answer, or did not lead, when the group was examined. */
+    private isSettled(before: readonly GroupReport[], now: readonly GroupReport[]): boolean {
+        const primary = findPrimaryReport(now);
+        const previous = findPrimaryReport(before);
+        return primary !== undefined && (previous === undefined || primary.status!.term > previous.status!.term);
+    }
+
     private *demote(old: GroupReport | undefined, term: number): Operation<LogPosition | undefined> {
         if (old?.status?.isPrimary !== true) return undefined;
         const status = yield* old.pool.runControl(CommandKind.Demote, controlTimeoutMs, term);
--- a/packages/session/src/freshness/primaryProver.ts
+++ b/packages/session/src/freshness/primaryProver.ts
@@ -9,7 +9,10 @@
 import { PrimaryBelief } from "../cluster/primaryBelief";
 import { Proof } from "./proof";
 
+/** The next replica is asked soon, because an answer of the first takes milliseconds unless it is cut off or busy. */
+const firstStatusTimeoutMs = 150;
 const statusTimeoutMs = 350;
+const mostReplicas = 2;
 
 interface Round {
     readonly startedAt: number;
@@ -25,17 +28,17 @@
  */
 export class PrimaryProver {
     private round: Round | undefined;
-    private preferred = 0;
 
     private constructor(
         private readonly service: string,
         private readonly clock: Clock,
         private readonly pools: UpstreamPools,
         private readonly belief: PrimaryBelief,
+        private readonly zone: string,
     ) {}
 
-    public static create(service: string, clock: Clock, pools: UpstreamPools, belief: PrimaryBelief): PrimaryProver {
-        return new PrimaryProver(service, clock, pools, belief);
+    public static create(service: string, clock: Clock, pools: UpstreamPools, belief: PrimaryBelief, zone: string): PrimaryProver {
+        return new PrimaryProver(service, clock, pools, belief, zone);
     }
 
     /** Returns a proof for the primary's term begun at or after `since`; undefined if there is none by `giveUpAt`. */
@@ -72,30 +75,24 @@
         const primary = this.belief.primary;
         if (primary === undefined) return undefined;
         const replicas = this.pools.list(this.service).filter(pool => pool.entry.id !== primary.id);
-        for (let attempt = 0; attempt < Math.min(2, replicas.length); attempt++) {
-            const replica = this.pickReplica(replicas, attempt);
-            const status = yield* replica.runControl(CommandKind.Status, statusTimeoutMs);
-            if (status === undefined) {
-                this.preferred++;
-                continue;
-            }
-            if (status.term > primary.term || (status.isPrimary && status.term >= primary.term) || status.fenceTerm > 0) {
-                this.belief.suspect("a replica reports a higher term or a fence");
+        replicas.sort((first, second) => this.rateReplica(first) - this.rateReplica(second));
+        for (const [index, replica] of replicas.slice(0, mostReplicas).entries()) {
+            const timeoutMs = index === 0 ? firstStatusTimeoutMs : statusTimeoutMs;
+            const status = yield* replica.runControl(CommandKind.Status, timeoutMs);
+            if (status === undefined) continue;
+            if (status.term > primary.term || status.fenceTerm > 0) {
+                this.belief.suspect(`replica ${replica.entry.id} reports term ${status.term} and fence ${status.fenceTerm}`);
                 if (status.term > primary.term) return undefined;
-                this.preferred++;
-                continue;
-            }
-            if (status.term < primary.term) {
-                // The replica has not heard of the current term yet, so it confirms nothing.
-                this.preferred++;
                 continue;
             }
-            return { term: primary.term, received: status.received, askedAt };
+            // A replica that has not heard of the current term yet confirms nothing.
+            if (status.term === primary.term && !status.isPrimary) return { term: primary.term, received: status.received, askedAt };
         }
         return undefined;
     }
 
-    private pickReplica(replicas: readonly UpstreamPool[], attempt: number): UpstreamPool {
-        return replicas[(this.preferred + attempt) % replicas.length]!;
+    /** Replicas that answer come first, the nearest before the others. */
+    private rateReplica(replica: UpstreamPool): number {
+        return 2 * replica.failures + (replica.entry.isLeaving ? 2 : 0) + (replica.entry.zone === this.zone ? 0 : 1);
     }
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -15,12 +15,13 @@
 import { UpstreamConnection } from "./upstreamConnection";
 import { WaitQueue } from "./waitQueue";
 
-const dialTimeoutMs = 700;
+const dialTimeoutMs = 450;
 /** After a refusal for too many connections, other VMs need time to close idle ones. */
 const tooManyPauseMs = 150;
 /** After a failed dial the upstream is left alone for this time. */
 const failedDialPauseMs = 250;
 const keptIdleConnections = 2;
+const recentAnswerMs = 300;
 
 /** The connections of this VM to one upstream, handed out by rank. */
 export class UpstreamPool {
@@ -64,6 +65,11 @@
         return this.open.size + this.dialing;
     }
 
+    /** Whether the upstream has answered recently, or was not asked in vain since it last did. */
+    public get isReachable(): boolean {
+        return this.failures === 0 || this.clock.now() - this.lastAnswerAt < recentAnswerMs;
+    }
+
     public get isUnreachable(): boolean {
         return this.clock.now() < this.closedUntil && this.open.size === 0;
     }
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -14,10 +14,10 @@
 export class UpstreamPools {
     private readonly pools = new Map<string, UpstreamPool>();
 
-    private constructor(private readonly cluster: ClusterState, private readonly clock: Clock, private readonly dialer: UpstreamDialer) {}
+    private constructor(private readonly cluster: ClusterState, private readonly clock: Clock, private readonly dialer: UpstreamDialer, public readonly zone: string) {}
 
-    public static create(cluster: ClusterState, clock: Clock, dialer: UpstreamDialer): UpstreamPools {
-        return new UpstreamPools(cluster, clock, dialer);
+    public static create(cluster: ClusterState, clock: Clock, dialer: UpstreamDialer, zone: string): UpstreamPools {
+        return new UpstreamPools(cluster, clock, dialer, zone);
     }
 
     public list(service: string): readonly UpstreamPool[] {
