Detect a silent primary sooner

An overdue answer of the primary now has the group examined, two examinations suffice, and the check after the claim waits 150 ms for the old primary. Before: promotion 2.1 s after a zone was cut.

--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -26,6 +26,7 @@
 /** A read tries another upstream after this share of its target, and not before `leastReadAttemptMs`. */
 const readAttemptShare = 0.75;
 const leastReadAttemptMs = 300;
+const slowPrimaryMs = 300;
 
 /** Runs single statements: finds an upstream, runs, repeats what is known not to have run and confirms writes. */
 export class StatementRunner {
@@ -104,6 +105,7 @@
         const connection = granted.val;
         const sentAt = this.clock.now();
         let answer: UpstreamAnswer | undefined;
+        const stopSuspecting = this.suspectLater(group, target);
         try {
             const preparedName = yield* this.prepare(req, statement, connection);
             if (statement.kind === StatementKind.Execute && preparedName === undefined) return failStatement(ErrorKind.Other, Diagnostics.overloaded, req.workClass.targetMs);
@@ -117,6 +119,7 @@
             }, this.limitAttempt(req, deadline));
         }
         finally {
+            stopSuspecting();
             if (answer === undefined || answer.state !== TransactionState.Idle) target.pool.discard(connection);
             target.pool.release(connection);
         }
@@ -130,6 +133,12 @@
         return yield* connection.prepare(prepared.shape, prepared.readOnly);
     }
 
+    /** Has the group examined if the primary takes longer than usual. Returns a function that calls this off. */
+    private suspectLater(group: ServiceGroup, target: Target): () => void {
+        if (target.primaryTerm === undefined) return () => {};
+        return this.clock.startTimer(slowPrimaryMs, () => group.belief.suspect("an answer of the primary is overdue"));
+    }
+
     private limitAttempt(req: ServedRequest, deadline: number): number {
         const remainingMs = Math.max(1, deadline - this.clock.now());
         if (!req.readOnly) return remainingMs;
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -12,10 +12,10 @@
 import { GroupReport } from "./groupReport";
 import { Promotion } from "./promotion";
 
-const statusTimeoutMs = 400;
+const statusTimeoutMs = 300;
 const examinePauseMs = 60;
 /** A group without a primary, or with one that leaves, is left alone for this time, so that one lost answer changes nothing. */
-const leastOutageMs = 300;
+const leastOutageMs = 400;
 /** VMs try one after another, in an order that differs by group. */
 const stepPerVmMs = 40;
 /** A fence that stays for this time was left behind by a promotion that did not finish. */
@@ -78,6 +78,7 @@
         const pools = this.group.pools.list(this.group.service);
         if (pools.length === 0) return;
         const generation = this.suspension.check();
+        const examinedAt = this.clock.now();
         const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs, undefined, report => this.noteReport(report));
         if (this.suspension.check() !== generation) return;
         const primary = findPrimaryReport(reports);
@@ -90,7 +91,7 @@
         }
         if (trouble !== this.trouble) this.troubleSince = undefined;
         this.trouble = trouble;
-        this.troubleSince ??= this.clock.now();
+        this.troubleSince ??= examinedAt;
         const patienceMs = (trouble === "fenced" ? abandonedFenceMs : leastOutageMs) + this.computeOrder() * stepPerVmMs;
         if (trouble !== "fenced" && primary !== undefined) this.group.belief.suspect(trouble);
         if (this.clock.now() - this.troubleSince < patienceMs) return;
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -18,6 +18,8 @@
 const claimValidMs = 1_800;
 const claimMinAgeMs = 2_600;
 const controlTimeoutMs = 400;
+/** The group was examined just before; a primary that has come back answers within this time. */
+const recheckTimeoutMs = 150;
 /** How long a planned change of primary waits for a replica to receive the rest of the log. */
 const catchUpMs = 700;
 const promotionPollMs = 40;
@@ -59,7 +61,7 @@
         const fenceToken = yield* this.claims.take(service, claimMinAgeMs);
         if (fenceToken === undefined) return false;
         // The examination may have been made before a partition healed or before another VM's promotion.
-        const current = yield* collectReports(reports.map(report => report.pool), CommandKind.Status, controlTimeoutMs);
+        const current = yield* collectReports(reports.map(report => report.pool), CommandKind.Status, recheckTimeoutMs);
         if (this.isSettled(reports, current)) {
             this.log.info({ service, reason, fenceToken }, "promotion.not-needed");
             return true;
