--- /dev/null
+++ b/packages/session/src/cluster/clusterState.test.ts
@@ -0,0 +1,40 @@
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { RoutingConfiguration } from "../model/routingConfiguration";
+import { UpstreamEntry } from "../model/upstreamEntry";
+import { ClusterState } from "./clusterState";
+
+function createConfiguration(version: number): RoutingConfiguration {
+    return { version, classes: new Map(), services: new Map(), transactionIdleMs: 0 };
+}
+
+const entry: UpstreamEntry = { id: "u1", service: "s", host: "h", port: 1, zone: "z", slots: 1, isLeaving: false, claimsPrimary: true, startedAtMs: 1 };
+
+// Guards against a configuration that goes back after a stale read.
+test("an older or equal configuration changes nothing", () => {
+    const cluster = ClusterState.create("vm", ManualClock.create());
+    assert.equal(cluster.applyConfiguration(createConfiguration(7)), true);
+    assert.equal(cluster.applyConfiguration(createConfiguration(7)), false);
+    assert.equal(cluster.applyConfiguration(createConfiguration(3)), false);
+    assert.equal(cluster.configuration?.version, 7);
+});
+
+// Guards against both errors about entries that lapse during an outage of the store: dropping a live upstream, and keeping a dead one.
+test("a missing entry is kept until its grace has passed and dropped then", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create("vm", clock);
+    cluster.putUpstream(entry);
+    cluster.removeUpstream("u1");
+    clock.advance(2_000);
+    cluster.dropMissing();
+    assert.ok(cluster.findUpstream("u1") !== undefined);
+    cluster.putUpstream(entry);
+    clock.advance(2_000);
+    cluster.dropMissing();
+    assert.ok(cluster.findUpstream("u1") !== undefined);
+    cluster.removeUpstream("u1");
+    clock.advance(2_500);
+    cluster.dropMissing();
+    assert.equal(cluster.findUpstream("u1"), undefined);
+});
--- a/packages/session/src/cluster/primaryBelief.ts
+++ b/packages/session/src/cluster/primaryBelief.ts
@@ -7,7 +7,7 @@
     public readonly changed = Signal.create<void>();
     /** Wakes the group's watcher. */
     public readonly suspected = Signal.create<void>();
-    private current: { readonly id: string; readonly term: number } | undefined;
+    private current: { readonly id: string; readonly term: number; } | undefined;
     private suspicion: string | undefined = "the VM has just started";
 
     private constructor(public readonly service: string, private readonly log: bunyan) {}
@@ -16,7 +16,7 @@
         return new PrimaryBelief(service, log);
     }
 
-    public get primary(): { readonly id: string; readonly term: number } | undefined {
+    public get primary(): { readonly id: string; readonly term: number; } | undefined {
         return this.current;
     }
 
@@ -26,7 +26,9 @@
 
     /** Asks the watcher to look at the group. The primary stays in use meanwhile. */
     public suspect(reason: string): void {
-        if (this.suspicion === undefined) this.log.info({ service: this.service, primary: this.current?.id, term: this.current?.term, reason }, "primary.suspected");
+        if (this.suspicion === undefined) {
+            this.log.info({ service: this.service, primary: this.current?.id, term: this.current?.term, reason }, "primary.suspected");
+        }
         this.suspicion = reason;
         this.suspected.notifyAll();
     }
--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -43,7 +43,7 @@
     }
 
     /** Returns the pool of the primary, if it is known and listed. */
-    public findPrimary(): { readonly pool: UpstreamPool; readonly term: number } | undefined {
+    public findPrimary(): { readonly pool: UpstreamPool; readonly term: number; } | undefined {
         const primary = this.belief.primary;
         const pool = primary === undefined ? undefined : this.pools.find(primary.id);
         return pool === undefined ? undefined : { pool, term: primary!.term };
--- a/packages/session/src/cluster/serviceGroups.ts
+++ b/packages/session/src/cluster/serviceGroups.ts
@@ -17,7 +17,13 @@
     ) {}
 
     /** `onCreated` is called once for each group, before it is used. */
-    public static create(clock: Clock, pools: UpstreamPools, suspension: SuspensionDetector, log: bunyan, onCreated: (group: ServiceGroup) => void): ServiceGroups {
+    public static create(
+        clock: Clock,
+        pools: UpstreamPools,
+        suspension: SuspensionDetector,
+        log: bunyan,
+        onCreated: (group: ServiceGroup) => void,
+    ): ServiceGroups {
         return new ServiceGroups(clock, pools, suspension, log, onCreated);
     }
 
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -3,8 +3,8 @@
 import { race } from "@vanillarouter/base/race";
 import { sleep } from "@vanillarouter/base/sleep";
 import * as bunyan from "bunyan";
-import { ServiceGroups } from "../cluster/serviceGroups";
 import { ClusterState } from "../cluster/clusterState";
+import { ServiceGroups } from "../cluster/serviceGroups";
 import { Diagnostics } from "../diagnostics";
 import { CallerChannel } from "../model/callerChannel";
 import { CallerStatement } from "../model/callerStatement";
@@ -180,6 +180,14 @@
         const latencyMs = this.context.clock.now() - receivedAt;
         this.context.metrics.record(workClass, outcome.error, latencyMs);
         if (outcome.error === undefined) return;
-        this.context.log.info({ req: statement.id, class: workClass, service: this.findClass()?.service, kind: statement.kind, error: outcome.error, ms: Math.round(latencyMs), text: outcome.text }, "statement.failed");
+        this.context.log.info({
+            req: statement.id,
+            class: workClass,
+            service: this.findClass()?.service,
+            kind: statement.kind,
+            error: outcome.error,
+            ms: Math.round(latencyMs),
+            text: outcome.text,
+        }, "statement.failed");
     }
 }
--- /dev/null
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ErrorKind } from "../model/errorKind";
+import { Freshness } from "../model/freshness";
+import { StatementKind } from "../model/statementKind";
+import { TestBed } from "../testing/testBed";
+import { OpenTransaction } from "./openTransaction";
+
+function createTransaction(bed: TestBed): OpenTransaction {
+    bed.group.belief.confirm("u1", 1);
+    return OpenTransaction.create(bed.clock, bed.group, bed.targets, bed.confirmer, bed.createRequest(Freshness.Latest, false));
+}
+
+// Guards against a false promise: a COMMIT whose answer was lost may have taken effect.
+test("a commit whose answer was lost is unknown if the transaction wrote", () => {
+    const bed = TestBed.create();
+    const transaction = createTransaction(bed);
+    assert.equal(bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1"))).error, undefined);
+    bed.servers.find("u1").losesAnswers = true;
+    const outcome = bed.run(transaction.commit(bed.createStatement("s2", StatementKind.Commit, "COMMIT")));
+    assert.equal(outcome.error, ErrorKind.UnknownOutcome);
+});
+
+// Guards against lost work of callers: what was rolled back is promised to be gone, so the caller repeats it.
+test("a transaction that lost its connection before COMMIT is reported as rolled back", () => {
+    const bed = TestBed.create();
+    const transaction = createTransaction(bed);
+    bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1")));
+    bed.servers.find("u1").losesAnswers = true;
+    const outcome = bed.run(transaction.runStatement(bed.createStatement("s2", StatementKind.Write, "WRITE b 1")));
+    assert.equal(outcome.error, ErrorKind.Aborted);
+    assert.equal(bed.servers.find("u1").log.length, 0);
+});
+
+// Guards against mixed transactions: a connection is reused only after its transaction has ended.
+test("statements of another caller never run inside an open transaction", () => {
+    const bed = TestBed.create();
+    const transaction = createTransaction(bed);
+    bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1")));
+    const outcome = bed.run(bed.runner.run(bed.group, bed.createRequest(Freshness.Latest, false), bed.createStatement("w1", StatementKind.Write, "WRITE b 1")));
+    assert.equal(outcome.error, undefined);
+    transaction.rollBack();
+    for (let step = 0; step < 20; step++) bed.clock.advance(1);
+    assert.deepEqual(bed.servers.find("u1").log.map(entry => entry.id), ["w1"]);
+});
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -24,7 +24,7 @@
 
 /** One transaction of a caller. It begins at an upstream with its first statement and holds that connection to its end. */
 export class OpenTransaction {
-    private held: { readonly target: Target; readonly connection: UpstreamConnection } | undefined;
+    private held: { readonly target: Target; readonly connection: UpstreamConnection; } | undefined;
     private hasWritten = false;
 
     private constructor(
@@ -60,7 +60,9 @@
         if (answer === undefined) {
             this.drop();
             if (target.primaryTerm !== undefined) this.group.belief.suspect("an answer of the primary was lost");
-            return this.hasWritten ? failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown) : failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, "no answer");
+            return this.hasWritten
+                ? failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown)
+                : failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, "no answer");
         }
         if (answer.error !== undefined) return this.abort(answer, true);
         this.held = undefined;
@@ -113,15 +115,20 @@
     }
 
     private abort(answer: UpstreamAnswer | undefined, isCommit = false): StatementOutcome {
-        const isPrimary = this.held?.target.primaryTerm !== undefined;
-        if (answer?.error === ErrorKind.ReadOnly && isPrimary) this.group.belief.suspect("the primary refused a statement");
-        if (answer === undefined && isPrimary) this.group.belief.suspect("an answer of the primary was lost");
+        this.suspectPrimary(answer);
         this.drop();
         const mayHaveCommitted = isCommit && (answer?.error === ErrorKind.Failed || answer?.error === ErrorKind.TimedOut);
         if (mayHaveCommitted && this.hasWritten) return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
         return failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, answer?.errorText ?? "no answer");
     }
 
+    /** Has the group examined if the answer says that the primary may have changed. */
+    private suspectPrimary(answer: UpstreamAnswer | undefined): void {
+        if (this.held?.target.primaryTerm === undefined) return;
+        if (answer === undefined) this.group.belief.suspect("an answer of the primary was lost");
+        else if (answer.error === ErrorKind.ReadOnly) this.group.belief.suspect("the primary refused a statement");
+    }
+
     /** Closes the connection, which rolls back what has not been committed. */
     private drop(): void {
         if (this.held === undefined) return;
@@ -153,7 +160,10 @@
         const connection = granted.val;
         let answer: UpstreamAnswer | undefined;
         try {
-            answer = yield* connection.run({ kind: CommandKind.Begin, readOnly: this.req.readOnly, floor: target.floor }, Math.max(1, deadline - this.clock.now()));
+            answer = yield* connection.run(
+                { kind: CommandKind.Begin, readOnly: this.req.readOnly, floor: target.floor },
+                Math.max(1, deadline - this.clock.now()),
+            );
         }
         finally {
             target.pool.pauseStatement();
--- a/packages/session/src/entry/sessionValues.ts
+++ b/packages/session/src/entry/sessionValues.ts
@@ -2,7 +2,7 @@
 export class SessionValues {
     public readonly values = new Map<string, string>();
     /** Shape and kind of each prepared statement by the caller's name. */
-    public readonly prepared = new Map<string, { readonly shape: string; readonly readOnly: boolean }>();
+    public readonly prepared = new Map<string, { readonly shape: string; readonly readOnly: boolean; }>();
 
     private constructor() {}
 
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -85,7 +85,9 @@
     /** The last error of a statement that did not run is a promise; for a read that may have run nothing is kept either. */
     private makeFinal(req: ServedRequest, last: StatementOutcome): StatementOutcome {
         if (last.error === ErrorKind.Other) return failStatement(ErrorKind.Busy, Diagnostics.overloaded, req.workClass.targetMs);
-        if (last.error === ErrorKind.UnknownOutcome && req.readOnly) return failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, "no answer of an upstream");
+        if (last.error === ErrorKind.UnknownOutcome && req.readOnly) {
+            return failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, "no answer of an upstream");
+        }
         return last;
     }
 
@@ -108,7 +110,9 @@
         const stopSuspecting = this.suspectLater(group, target);
         try {
             const preparedName = yield* this.prepare(req, statement, connection);
-            if (statement.kind === StatementKind.Execute && preparedName === undefined) return failStatement(ErrorKind.Other, Diagnostics.overloaded, req.workClass.targetMs);
+            if (statement.kind === StatementKind.Execute && preparedName === undefined) {
+                return failStatement(ErrorKind.Other, Diagnostics.overloaded, req.workClass.targetMs);
+            }
             answer = yield* connection.run({
                 kind: CommandKind.Forward,
                 id: statement.id,
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -36,14 +36,16 @@
         if (mayUseReplica) {
             const pool = this.chooseReader(group, required, avoided);
             const isPrimary = pool?.entry.id === group.belief.primary?.id;
-            return pool === undefined ? undefined : { pool, floor: required, primaryTerm: isPrimary ? group.belief.primary?.term : undefined, provenAt: undefined };
+            return pool === undefined
+                ? undefined
+                : { pool, floor: required, primaryTerm: isPrimary ? group.belief.primary?.term : undefined, provenAt: undefined };
         }
         const primary = yield* this.awaitPrimary(group, giveUpAt);
         return primary === undefined ? undefined : { pool: primary.pool, floor: required, primaryTerm: primary.term, provenAt: undefined };
     }
 
     /** Waits until a primary is known. */
-    public *awaitPrimary(group: ServiceGroup, giveUpAt: number): Operation<{ readonly pool: UpstreamPool; readonly term: number } | undefined> {
+    public *awaitPrimary(group: ServiceGroup, giveUpAt: number): Operation<{ readonly pool: UpstreamPool; readonly term: number; } | undefined> {
         for (;;) {
             const primary = group.findPrimary();
             if (primary !== undefined) return primary;
--- a/packages/session/src/failover/collectReports.ts
+++ b/packages/session/src/failover/collectReports.ts
@@ -4,7 +4,13 @@
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { GroupReport } from "./groupReport";
 
-function* runControl(pool: UpstreamPool, kind: CommandKind, timeoutMs: number, term: number | undefined, onReport: (report: GroupReport) => void): Operation<GroupReport> {
+function* runControl(
+    pool: UpstreamPool,
+    kind: CommandKind,
+    timeoutMs: number,
+    term: number | undefined,
+    onReport: (report: GroupReport) => void,
+): Operation<GroupReport> {
     const report = { pool, status: yield* pool.runControl(kind, timeoutMs, term) };
     onReport(report);
     return report;
--- /dev/null
+++ b/packages/session/src/failover/groupTrouble.ts
@@ -0,0 +1,7 @@
+/** Why the primary of a group has to be replaced. */
+export enum GroupTrouble {
+    NoPrimary = "no primary answers",
+    /** A promotion that did not finish left replicas fenced. */
+    Fenced = "a replica is fenced",
+    Leaving = "the primary is leaving",
+}
--- /dev/null
+++ b/packages/session/src/failover/groupWatcher.test.ts
@@ -0,0 +1,63 @@
+import { Task } from "@vanillarouter/base/task";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TestBed } from "../testing/testBed";
+
+const failoverTargetMs = 2_000;
+
+function advance(bed: TestBed, ms: number): void {
+    for (let elapsed = 0; elapsed < ms; elapsed++) bed.clock.advance(1);
+}
+
+function startWatcher(bed: TestBed): void {
+    Task.start(bed.createWatcher().run());
+    advance(bed, 100);
+}
+
+// Guards against a long gap in writes: a silent primary has to be replaced within the target.
+test("a silent primary is replaced within two seconds of the suspicion", () => {
+    const bed = TestBed.create();
+    startWatcher(bed);
+    assert.equal(bed.group.belief.primary?.id, "u1");
+    bed.servers.find("u1").isSilent = true;
+    bed.servers.find("u1").isReplicating = false;
+    bed.group.belief.suspect("test");
+    advance(bed, failoverTargetMs);
+    assert.equal(bed.servers.promotions.length, 1);
+    assert.notEqual(bed.group.belief.primary?.id, "u1");
+});
+
+// Guards against failovers by a VM that is cut off itself.
+test("a VM that reaches no upstream promotes nothing", () => {
+    const bed = TestBed.create();
+    startWatcher(bed);
+    for (const server of bed.servers.servers) server.isSilent = true;
+    bed.group.belief.suspect("test");
+    advance(bed, 8_000);
+    for (const server of bed.servers.servers) server.isSilent = false;
+    advance(bed, 1_000);
+    assert.deepEqual(bed.servers.promotions, []);
+    assert.equal(bed.group.belief.primary?.id, "u1");
+});
+
+// Guards against replacing a healthy primary because of one lost answer.
+test("a suspicion alone does not replace a primary that answers", () => {
+    const bed = TestBed.create();
+    startWatcher(bed);
+    for (let round = 0; round < 20; round++) {
+        bed.group.belief.suspect("test");
+        advance(bed, 200);
+    }
+    assert.deepEqual(bed.servers.promotions, []);
+});
+
+// Guards against replicas that stay fenced for good after the VM that fenced them has died.
+test("a fence left behind by another VM is resolved", () => {
+    const bed = TestBed.create();
+    startWatcher(bed);
+    for (const id of ["u2", "u3"]) bed.servers.find(id).fenceTerm = 2;
+    bed.group.belief.suspect("test");
+    advance(bed, 6_000);
+    assert.equal(bed.servers.promotions.length, 1);
+    assert.ok(bed.servers.servers.every(server => server.fenceTerm === 0));
+});
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -10,6 +10,7 @@
 import { collectReports } from "./collectReports";
 import { findPrimaryReport } from "./findPrimaryReport";
 import { GroupReport } from "./groupReport";
+import { GroupTrouble } from "./groupTrouble";
 import { Promotion } from "./promotion";
 
 const statusTimeoutMs = 300;
@@ -23,8 +24,7 @@
 
 /** Follows the primary of one group and replaces it when it is gone, unreachable or leaving. */
 export class GroupWatcher {
-    private troubleSince: number | undefined;
-    private trouble = "";
+    private trouble: { readonly kind: GroupTrouble; readonly since: number; } | undefined;
     private readonly seenContradictions = new Set<string>();
 
     private constructor(
@@ -43,7 +43,7 @@
         for (;;) {
             this.checkEntries();
             if (!this.group.belief.isSuspected) {
-                this.troubleSince = undefined;
+                this.trouble = undefined;
                 yield* race([this.group.belief.suspected.wait(), this.cluster.upstreamsChanged.wait()]);
                 continue;
             }
@@ -83,26 +83,31 @@
         if (this.suspension.check() !== generation) return;
         const primary = findPrimaryReport(reports);
         const trouble = this.findTrouble(reports, primary);
-        if (primary !== undefined && trouble !== "fenced") this.group.belief.confirm(primary.pool.entry.id, primary.status!.term);
-        if (trouble === undefined || !this.mayReplace(reports, primary)) {
-            this.troubleSince = undefined;
-            if (trouble !== undefined) this.group.belief.suspect(trouble);
-            return;
+        if (primary !== undefined && trouble !== GroupTrouble.Fenced) this.group.belief.confirm(primary.pool.entry.id, primary.status!.term);
+        if (trouble !== undefined) this.group.belief.suspect(trouble);
+        const isRipe = this.noteTrouble(this.mayReplace(reports, primary) ? trouble : undefined, examinedAt);
+        if (trouble === undefined || !isRipe) return;
+        const previousId = primary?.pool.entry.id ?? this.group.belief.primary?.id;
+        if (yield* this.promotion.run(reports, previousId, trouble)) this.trouble = undefined;
+    }
+
+    /** Returns whether the same trouble has lasted long enough for this VM to act. */
+    private noteTrouble(kind: GroupTrouble | undefined, examinedAt: number): boolean {
+        if (kind === undefined) {
+            this.trouble = undefined;
+            return false;
         }
-        if (trouble !== this.trouble) this.troubleSince = undefined;
-        this.trouble = trouble;
-        this.troubleSince ??= examinedAt;
-        const patienceMs = (trouble === "fenced" ? abandonedFenceMs : leastOutageMs) + this.computeOrder() * stepPerVmMs;
-        if (trouble !== "fenced" && primary !== undefined) this.group.belief.suspect(trouble);
-        if (this.clock.now() - this.troubleSince < patienceMs) return;
-        const previous = primary?.pool.entry.id ?? this.group.belief.primary?.id;
-        if (yield* this.promotion.run(reports, previous, trouble)) this.troubleSince = undefined;
+        if (this.trouble?.kind !== kind) this.trouble = { kind, since: examinedAt };
+        const patienceMs = (kind === GroupTrouble.Fenced ? abandonedFenceMs : leastOutageMs) + this.computeOrder() * stepPerVmMs;
+        return this.clock.now() - this.trouble.since >= patienceMs;
     }
 
     /** A new primary is used as soon as it answers, also while others do not. */
     private noteReport(report: GroupReport): void {
         const known = this.group.belief.primary;
-        if (report.status?.isPrimary === true && known !== undefined && report.status.term > known.term) this.group.belief.confirm(report.pool.entry.id, report.status.term);
+        if (report.status?.isPrimary === true && known !== undefined && report.status.term > known.term) {
+            this.group.belief.confirm(report.pool.entry.id, report.status.term);
+        }
     }
 
     /** A VM that cannot fence every other upstream is cut off itself, or cannot help. */
@@ -113,12 +118,13 @@
         return others.length > 0 && silent < others.length && (silent === 0 || primary !== undefined);
     }
 
-    private findTrouble(reports: readonly GroupReport[], primary: GroupReport | undefined): string | undefined {
-        if (primary === undefined) return "no primary answers";
-        if (reports.some(report => report !== primary && report.status !== undefined && report.status.fenceTerm > primary.status!.term)) return "fenced";
-        const hasSuccessor = reports.some(report => report !== primary && report.status !== undefined && !report.pool.entry.isLeaving);
-        if (primary.pool.entry.isLeaving && hasSuccessor) return "the primary is leaving";
-        return undefined;
+    private findTrouble(reports: readonly GroupReport[], primary: GroupReport | undefined): GroupTrouble | undefined {
+        if (primary === undefined) return GroupTrouble.NoPrimary;
+        const others = reports.flatMap(report =>
+            report !== primary && report.status !== undefined ? [{ entry: report.pool.entry, status: report.status }] : []
+        );
+        if (others.some(other => other.status.fenceTerm > primary.status!.term)) return GroupTrouble.Fenced;
+        return primary.pool.entry.isLeaving && others.some(other => !other.entry.isLeaving) ? GroupTrouble.Leaving : undefined;
     }
 
     /** Returns this VM's place in the group's order of VMs. */
--- /dev/null
+++ b/packages/session/src/failover/promotion.test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { CommandKind } from "../model/commandKind";
+import { TestBed } from "../testing/testBed";
+import { collectReports } from "./collectReports";
+
+function examine(bed: TestBed): ReturnType<typeof collectReports> {
+    return collectReports(bed.group.pools.list("orders"), CommandKind.Status, 300);
+}
+
+// Guards against the loss of acknowledged commits: a second copy may exist on one replica only.
+test("the replica with the most complete log is promoted after both were fenced", () => {
+    const bed = TestBed.create();
+    bed.group.belief.confirm("u1", 1);
+    bed.servers.find("u2").isReplicating = false;
+    const primary = bed.servers.find("u1");
+    primary.run(primary.createSession(), { kind: CommandKind.Forward, id: "w1", text: "WRITE a 1" });
+    primary.isSilent = true;
+    primary.isReplicating = false;
+    bed.servers.find("u2").isReplicating = true;
+    const reports = bed.run(examine(bed));
+    assert.equal(bed.run(bed.createPromotion().run(reports, "u1", "test")), true);
+    assert.deepEqual(bed.servers.promotions, ["u3"]);
+    assert.deepEqual(bed.group.belief.primary, { id: "u3", term: 2 });
+});
+
+// Guards against a promotion with an unfenced replica, which would go on confirming the old primary.
+test("nothing is promoted while a replica cannot be fenced and the old primary was not demoted", () => {
+    const bed = TestBed.create();
+    bed.group.belief.confirm("u1", 1);
+    bed.servers.find("u1").isSilent = true;
+    const reports = bed.run(examine(bed));
+    bed.servers.find("u3").isSilent = true;
+    assert.equal(bed.run(bed.createPromotion().run(reports, "u1", "test")), false);
+    assert.deepEqual(bed.servers.promotions, []);
+});
+
+// Guards against needless promotions: VMs of a healed zone replaced two healthy primaries with what they had seen before.
+test("nothing is promoted when the primary answers again after the claim was taken", () => {
+    const bed = TestBed.create();
+    bed.group.belief.confirm("u1", 1);
+    bed.servers.find("u1").isSilent = true;
+    const reports = bed.run(examine(bed));
+    bed.onClaimed = () => bed.servers.find("u1").isSilent = false;
+    bed.run(bed.createPromotion().run(reports, "u1", "test"));
+    assert.deepEqual(bed.servers.promotions, []);
+});
+
+// Guards against a late promotion by a VM that was suspended while it held the claim.
+test("a claim that was held through a suspension is not used", () => {
+    const bed = TestBed.create();
+    bed.group.belief.confirm("u1", 1);
+    bed.servers.find("u1").isSilent = true;
+    const reports = bed.run(examine(bed));
+    bed.onClaimed = () => bed.timeOfDayOffsetMs += 4_000;
+    assert.equal(bed.run(bed.createPromotion().run(reports, "u1", "test")), false);
+    assert.deepEqual(bed.servers.promotions, []);
+});
+
+// Guards against lost writes in a planned change: the old primary stops first and a replica has all it wrote.
+test("a primary that leaves is demoted before its successor is promoted", () => {
+    const bed = TestBed.create();
+    bed.group.belief.confirm("u1", 1);
+    bed.list("u1", "zone-1", true);
+    const reports = bed.run(examine(bed));
+    assert.equal(bed.run(bed.createPromotion().run(reports, "u1", "the primary is leaving")), true);
+    assert.equal(bed.servers.find("u1").isPrimary, false);
+    assert.equal(bed.servers.promotions.length, 1);
+});
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -117,7 +117,12 @@
         while (this.clock.now() < giveUpAt) {
             const status = yield* candidate.pool.runControl(CommandKind.Status, controlTimeoutMs);
             if (status?.isPrimary === true) {
-                this.log.info({ service: this.group.service, upstream: candidate.pool.entry.id, term: status.term, elapsedMs: Math.round(this.clock.now() - startedAt) }, "promotion.done");
+                this.log.info({
+                    service: this.group.service,
+                    upstream: candidate.pool.entry.id,
+                    term: status.term,
+                    elapsedMs: Math.round(this.clock.now() - startedAt),
+                }, "promotion.done");
                 this.group.belief.confirm(candidate.pool.entry.id, status.term);
                 return true;
             }
--- a/packages/session/src/freshness/primaryProver.ts
+++ b/packages/session/src/freshness/primaryProver.ts
@@ -3,10 +3,10 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { Task } from "@vanillarouter/base/task";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { PrimaryBelief } from "../cluster/primaryBelief";
 import { CommandKind } from "../model/commandKind";
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { UpstreamPools } from "../upstream/upstreamPools";
-import { PrimaryBelief } from "../cluster/primaryBelief";
 import { Proof } from "./proof";
 
 /** The next replica is asked soon, because an answer of the first takes milliseconds unless it is cut off or busy. */
--- /dev/null
+++ b/packages/session/src/testing/fakeDialer.ts
@@ -0,0 +1,31 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Err, Ok, Result } from "ts-results";
+import { ErrorKind } from "../model/errorKind";
+import { UpstreamDialer } from "../model/upstreamDialer";
+import { UpstreamEntry } from "../model/upstreamEntry";
+import { UpstreamLink } from "../model/upstreamLink";
+import { FakeGroupServers } from "./fakeGroupServers";
+import { FakeLink } from "./fakeLink";
+
+const dialMs = 2;
+
+/** Opens connections to the upstreams of a fake group. */
+export class FakeDialer implements UpstreamDialer {
+    public dials = 0;
+
+    private constructor(private readonly group: FakeGroupServers, private readonly clock: Clock) {}
+
+    public static create(group: FakeGroupServers, clock: Clock): FakeDialer {
+        return new FakeDialer(group, clock);
+    }
+
+    public *dial(upstream: UpstreamEntry, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
+        this.dials++;
+        const server = this.group.find(upstream.id);
+        if (server.refusesDials) return Err(ErrorKind.Other);
+        yield* sleep(this.clock, server.isSilent ? timeoutMs : dialMs);
+        return server.isSilent ? Err(ErrorKind.TimedOut) : Ok(FakeLink.create(server, this.clock));
+    }
+}
--- /dev/null
+++ b/packages/session/src/testing/fakeGroupServers.ts
@@ -0,0 +1,48 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { FakeUpstreamServer } from "./fakeUpstreamServer";
+
+/** A fake database group of three upstreams, `u1` its first primary. Replication is immediate unless it is cut. */
+export class FakeGroupServers {
+    public readonly servers: readonly FakeUpstreamServer[];
+    /** Ids of the upstreams that were promoted, in order. */
+    public readonly promotions: string[] = [];
+
+    private constructor() {
+        this.servers = ["u1", "u2", "u3"].map(id => FakeUpstreamServer.create(id, from => this.replicate(from)));
+        this.servers[0]!.isPrimary = true;
+    }
+
+    public static create(): FakeGroupServers {
+        return new FakeGroupServers();
+    }
+
+    public find(id: string): FakeUpstreamServer {
+        return this.servers.find(server => server.id === id)!;
+    }
+
+    /** Makes an upstream the primary of the next term; the others follow it if they replicate. */
+    public promote(id: string): void {
+        const server = this.find(id);
+        this.promotions.push(id);
+        server.isPrimary = true;
+        server.term = 1 + Math.max(...this.servers.map(each => each.term));
+        server.isReplicating = true;
+        // A promotion lifts the fences of all upstreams that hear of it.
+        for (const each of this.servers) {
+            if (each.isReplicating) each.fenceTerm = 0;
+        }
+        this.replicate(server);
+    }
+
+    private replicate(from: FakeUpstreamServer): void {
+        for (const server of this.servers) {
+            const isFollower = server !== from && server.isReplicating && from.isReplicating && server.fenceTerm <= from.term && server.term <= from.term;
+            if (!isFollower) continue;
+            server.term = from.term;
+            server.isPrimary = false;
+            server.fenceTerm = 0;
+            while (server.log.length > 0 && !from.log.some(entry => compareLogPositions(entry.at, server.position) === 0)) server.log.pop();
+            server.log.push(...from.log.slice(server.log.length));
+        }
+    }
+}
--- /dev/null
+++ b/packages/session/src/testing/fakeLink.ts
@@ -0,0 +1,65 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { sleep } from "@vanillarouter/base/sleep";
+import { UpstreamAnswer } from "../model/upstreamAnswer";
+import { UpstreamCommand } from "../model/upstreamCommand";
+import { UpstreamLink } from "../model/upstreamLink";
+import { UpstreamStatus } from "../model/upstreamStatus";
+import { FakeUpstreamServer } from "./fakeUpstreamServer";
+
+const oneWayMs = 1;
+
+/** A connection to a fake upstream with a fixed delay each way. */
+export class FakeLink implements UpstreamLink {
+    private open = true;
+    private readonly listeners: (() => void)[] = [];
+    private readonly session: ReturnType<FakeUpstreamServer["createSession"]>;
+    private status: UpstreamStatus | undefined;
+
+    private constructor(private readonly server: FakeUpstreamServer, private readonly clock: Clock) {
+        this.session = server.createSession();
+    }
+
+    public static create(server: FakeUpstreamServer, clock: Clock): FakeLink {
+        return new FakeLink(server, clock);
+    }
+
+    public get isOpen(): boolean {
+        return this.open;
+    }
+
+    /** Session values as the upstream holds them for this connection. */
+    public get sessionValues(): ReadonlyMap<string, string> {
+        return this.session.values;
+    }
+
+    public *run(command: UpstreamCommand, timeoutMs: number): Operation<UpstreamAnswer | undefined> {
+        let answer: UpstreamAnswer | undefined;
+        try {
+            yield* sleep(this.clock, oneWayMs);
+            const isLost = this.server.losesAnswers;
+            const ran = this.server.isSilent ? undefined : this.server.run(this.session, command);
+            this.status = this.server.status;
+            yield* sleep(this.clock, ran === undefined || isLost ? timeoutMs - oneWayMs : oneWayMs);
+            answer = isLost ? undefined : ran;
+            return answer;
+        }
+        finally {
+            if (answer === undefined) this.close();
+        }
+    }
+
+    public readStatus(answer: UpstreamAnswer): UpstreamStatus | undefined {
+        return answer.error === undefined ? this.status : undefined;
+    }
+
+    public onClosed(listener: () => void): void {
+        this.listeners.push(listener);
+    }
+
+    public close(): void {
+        if (!this.open) return;
+        this.open = false;
+        for (const listener of this.listeners) listener();
+    }
+}
--- /dev/null
+++ b/packages/session/src/testing/fakeUpstreamServer.ts
@@ -0,0 +1,128 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { CommandKind } from "../model/commandKind";
+import { ErrorKind } from "../model/errorKind";
+import { TransactionState } from "../model/transactionState";
+import { UpstreamAnswer } from "../model/upstreamAnswer";
+import { UpstreamCommand } from "../model/upstreamCommand";
+import { UpstreamStatus } from "../model/upstreamStatus";
+
+/** What one connection has done at a fake upstream. */
+interface ServerSession {
+    state: TransactionState;
+    pendingWrites: number;
+    readonly values: Map<string, string>;
+    readonly prepared: Set<string>;
+}
+
+/** One upstream of a fake database group, in memory. Entries of its log carry the id of the statement that wrote them. */
+export class FakeUpstreamServer {
+    public isPrimary = false;
+    public term = 1;
+    public fenceTerm = 0;
+    public readonly log: { readonly at: LogPosition; readonly id: string; }[] = [];
+    /** Ids of the statements that ran, in order. */
+    public readonly ran: string[] = [];
+    /** Receives entries of the primary only while this holds. */
+    public isReplicating = true;
+    /** Answers nothing while this holds; commands still run if `losesAnswers`. */
+    public isSilent = false;
+    /** Runs commands without answering them. */
+    public losesAnswers = false;
+    /** Refuses new connections at once. */
+    public refusesDials = false;
+    /** The next statements are answered with this error. */
+    public nextErrors: ErrorKind[] = [];
+
+    private constructor(public readonly id: string, private readonly replicate: (from: FakeUpstreamServer) => void) {}
+
+    public static create(id: string, replicate: (from: FakeUpstreamServer) => void): FakeUpstreamServer {
+        return new FakeUpstreamServer(id, replicate);
+    }
+
+    public get position(): LogPosition {
+        return this.log.at(-1)?.at ?? { term: 1, position: 0 };
+    }
+
+    public get status(): UpstreamStatus {
+        return { isPrimary: this.isPrimary, term: this.term, received: this.position, fenceTerm: this.fenceTerm, lagMs: 0, busySlots: 0, connections: 1 };
+    }
+
+    public createSession(): ServerSession {
+        return { state: TransactionState.Idle, pendingWrites: 0, values: new Map(), prepared: new Set() };
+    }
+
+    /** Runs one command of a connection. */
+    public run(session: ServerSession, command: UpstreamCommand): UpstreamAnswer {
+        const error = command.kind === CommandKind.Forward || command.kind === CommandKind.Begin
+            ? this.nextErrors.shift() ?? this.check(session, command)
+            : undefined;
+        if (error !== undefined) {
+            if (session.state === TransactionState.Open) session.state = TransactionState.Failed;
+            return this.answer(session, error);
+        }
+        this.apply(session, command);
+        return this.answer(session, undefined, command.kind === CommandKind.Forward ? `${this.id}/${command.id}` : "-");
+    }
+
+    private check(session: ServerSession, command: UpstreamCommand): ErrorKind | undefined {
+        if (command.floor !== undefined && compareLogPositions(this.position, command.floor) < 0) return ErrorKind.Lagging;
+        const needsPrimary = (command.kind === CommandKind.Begin && command.readOnly !== true) || command.text?.startsWith("WRITE") === true;
+        const isWritingCommit = command.text === "COMMIT" && session.pendingWrites > 0;
+        return !this.isPrimary && (needsPrimary || isWritingCommit) ? ErrorKind.ReadOnly : undefined;
+    }
+
+    private apply(session: ServerSession, command: UpstreamCommand): void {
+        switch (command.kind) {
+            case CommandKind.Begin:
+                session.state = TransactionState.Open;
+                return;
+            case CommandKind.Rollback:
+                this.endTransaction(session);
+                return;
+            case CommandKind.Reset:
+                session.values.clear();
+                session.prepared.clear();
+                return;
+            case CommandKind.SetValue:
+                session.values.set(command.name!, command.text!);
+                return;
+            case CommandKind.Prepare:
+                session.prepared.add(command.name!);
+                return;
+            case CommandKind.Fence:
+                if (command.term! > this.term && !this.isPrimary) this.fenceTerm = command.term!;
+                return;
+            case CommandKind.Demote:
+                if (command.term! > this.term) this.isPrimary = false;
+                return;
+            case CommandKind.Forward:
+                this.runStatement(session, command);
+        }
+    }
+
+    private runStatement(session: ServerSession, command: UpstreamCommand): void {
+        this.ran.push(command.id!);
+        if (command.text?.startsWith("WRITE") === true) {
+            if (session.state === TransactionState.Open) session.pendingWrites++;
+            else this.append(command.id!);
+        }
+        if (command.text !== "COMMIT") return;
+        if (session.pendingWrites > 0) this.append(command.id!);
+        this.endTransaction(session);
+    }
+
+    private endTransaction(session: ServerSession): void {
+        session.state = TransactionState.Idle;
+        session.pendingWrites = 0;
+    }
+
+    private append(id: string): void {
+        this.log.push({ at: { term: this.term, position: this.position.position + 1 }, id });
+        this.replicate(this);
+    }
+
+    private answer(session: ServerSession, error: ErrorKind | undefined, receipt?: string): UpstreamAnswer {
+        return { rows: [], receipt: error === undefined ? receipt : undefined, error, errorText: error ?? "", state: session.state, applied: this.position };
+    }
+}
--- /dev/null
+++ b/packages/session/src/testing/testBed.ts
@@ -0,0 +1,110 @@
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { Operation } from "@vanillarouter/base/operation";
+import { Task } from "@vanillarouter/base/task";
+import * as bunyan from "bunyan";
+import { ClusterState } from "../cluster/clusterState";
+import { ServiceGroup } from "../cluster/serviceGroup";
+import { FloorTable } from "../entry/floorTable";
+import { ServedRequest } from "../entry/servedRequest";
+import { SessionValues } from "../entry/sessionValues";
+import { StatementRunner } from "../entry/statementRunner";
+import { TargetFinder } from "../entry/targetFinder";
+import { WriteConfirmer } from "../entry/writeConfirmer";
+import { GroupWatcher } from "../failover/groupWatcher";
+import { Promotion } from "../failover/promotion";
+import { SuspensionDetector } from "../freshness/suspensionDetector";
+import { CallerStatement } from "../model/callerStatement";
+import { Freshness } from "../model/freshness";
+import { StatementKind } from "../model/statementKind";
+import { UpstreamPools } from "../upstream/upstreamPools";
+import { FakeDialer } from "./fakeDialer";
+import { FakeGroupServers } from "./fakeGroupServers";
+
+const service = "orders";
+const stepMs = 1;
+
+/** One VM before a fake group, on a clock that the test moves. */
+export class TestBed {
+    public readonly clock = ManualClock.create();
+    /** Offset of the time of day from the monotonic clock; a change looks like a suspension. */
+    public timeOfDayOffsetMs = 1_000_000;
+    public readonly servers = FakeGroupServers.create();
+    public readonly dialer = FakeDialer.create(this.servers, this.clock);
+    public readonly cluster = ClusterState.create("vm-1", this.clock);
+    public readonly suspension = SuspensionDetector.create(this.clock, () => this.clock.now() + this.timeOfDayOffsetMs);
+    public readonly log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
+    public readonly pools = UpstreamPools.create(this.cluster, this.clock, this.dialer, "zone-1");
+    public readonly group = ServiceGroup.create(service, this.clock, this.pools, this.suspension, this.log);
+    public readonly targets = TargetFinder.create(this.clock, "zone-1");
+    public readonly confirmer = WriteConfirmer.create(this.clock);
+    public readonly runner = StatementRunner.create(this.clock, this.targets, this.confirmer, this.log);
+    public readonly floors = FloorTable.create();
+    public readonly session = SessionValues.create();
+    /** Fencing tokens handed out so far; undefined ends claims. */
+    public nextToken: number | undefined = 1;
+    /** Runs between taking a claim and using it. */
+    public onClaimed: () => void = () => {};
+
+    private constructor() {
+        for (const [index, server] of this.servers.servers.entries()) this.list(server.id, `zone-${index + 1}`);
+    }
+
+    public static create(): TestBed {
+        return new TestBed();
+    }
+
+    /** Puts an upstream into service discovery. */
+    public list(id: string, zone: string, isLeaving = false): void {
+        const claimsPrimary = this.servers.find(id).isPrimary;
+        this.cluster.putUpstream({ id, service, host: "127.0.0.1", port: 1, zone, slots: 2, isLeaving, claimsPrimary, startedAtMs: 1 });
+    }
+
+    public createPromotion(): Promotion {
+        const { clock, suspension, servers, log } = this;
+        const take = (): number | undefined => this.takeToken();
+        const claims = {
+            *take(): Operation<number | undefined> {
+                return take();
+            },
+        };
+        const promoter = {
+            *promote(_service: string, id: string): Operation<boolean> {
+                servers.promote(id);
+                return true;
+            },
+        };
+        return Promotion.create(this.group, clock, suspension, claims, promoter, log);
+    }
+
+    public createWatcher(): GroupWatcher {
+        return GroupWatcher.create(this.group, this.cluster, this.clock, this.suspension, this.createPromotion());
+    }
+
+    public createRequest(freshness: Freshness, readOnly: boolean, maxAgeMs = 1_000): ServedRequest {
+        const workClass = { database: "db", service, freshness, maxAgeMs, statementTimeoutMs: 1_000, targetMs: 200, rank: 0 };
+        return { id: "r", workClass, session: this.session, floors: this.floors, receivedAt: this.clock.now(), readOnly };
+    }
+
+    public createStatement(id: string, kind: StatementKind, text: string): CallerStatement {
+        return { id, kind, text, name: "", argument: "", readOnly: kind === StatementKind.Read };
+    }
+
+    /** Runs an operation to its end, moving the clock for at most `mostMs`. */
+    public run<T>(operation: Operation<T>, mostMs = 10_000): T {
+        const task = Task.start(operation);
+        for (let elapsed = 0; !task.isSettled && elapsed < mostMs; elapsed += stepMs) this.clock.advance(stepMs);
+        let value: T | undefined;
+        let failure: unknown = new Error("the operation did not end in time");
+        task.deliver(result => {
+            value = result;
+            failure = undefined;
+        }, err => failure = err);
+        if (failure !== undefined) throw failure;
+        return value as T;
+    }
+
+    private takeToken(): number | undefined {
+        this.onClaimed();
+        return this.nextToken === undefined ? undefined : this.nextToken++;
+    }
+}
--- /dev/null
+++ b/packages/session/src/upstream/upstreamConnection.test.ts
@@ -0,0 +1,27 @@
+import * as fc from "fast-check";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SessionValues } from "../entry/sessionValues";
+import { FakeLink } from "../testing/fakeLink";
+import { TestBed } from "../testing/testBed";
+import { UpstreamConnection } from "./upstreamConnection";
+
+const valuesArbitrary = fc.dictionary(fc.constantFrom("a", "b", "c"), fc.constantFrom("1", "2"));
+
+// Guards against statements that run with another session's values on a shared connection.
+test("a connection has exactly the values of the session that adopts it", () => {
+    fc.assert(
+        fc.property(fc.array(valuesArbitrary, { minLength: 1, maxLength: 6 }), sessions => {
+            const bed = TestBed.create();
+            const link = FakeLink.create(bed.servers.find("u1"), bed.clock);
+            const connection = UpstreamConnection.create(link);
+            for (const values of sessions) {
+                const session = SessionValues.create();
+                for (const [name, value] of Object.entries(values)) session.values.set(name, value);
+                assert.equal(bed.run(connection.adopt(session)), true);
+                assert.deepEqual(new Map([...link.sessionValues].sort()), new Map([...session.values].sort()));
+            }
+        }),
+        { seed: 20261204 },
+    );
+});
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -14,7 +14,12 @@
 export class UpstreamPools {
     private readonly pools = new Map<string, UpstreamPool>();
 
-    private constructor(private readonly cluster: ClusterState, private readonly clock: Clock, private readonly dialer: UpstreamDialer, public readonly zone: string) {}
+    private constructor(
+        private readonly cluster: ClusterState,
+        private readonly clock: Clock,
+        private readonly dialer: UpstreamDialer,
+        public readonly zone: string,
+    ) {}
 
     public static create(cluster: ClusterState, clock: Clock, dialer: UpstreamDialer, zone: string): UpstreamPools {
         return new UpstreamPools(cluster, clock, dialer, zone);
--- a/scripts/runTests.mjs
+++ b/scripts/runTests.mjs
@@ -8,10 +8,10 @@
 const root = prepare();
 
 function findTests() {
-    return readdirSync(join(root, "packages")).flatMap(name => {
-        const sources = join(root, "packages", name, "src");
+    return [...readdirSync(join(root, "packages")).map(name => join("packages", name)), "platform"].flatMap(folder => {
+        const sources = join(root, folder, "src");
         const files = readdirSync(sources, { recursive: true }).filter(file => file.endsWith(".test.ts"));
-        return files.map(file => join(root, "packages", name, "dist", file.replace(/\.ts$/, ".js")));
+        return files.map(file => join(root, folder, "dist", file.replace(/\.ts$/, ".js")));
     });
 }
 
