--- a/packages/operator/src/createCounterFamilies.ts
+++ b/packages/base/src/createCounterFamilies.ts
@@ -1,4 +1,4 @@
-import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
+import { CounterMetrics } from "./counterMetrics";
 import { MetricFamily } from "./metricFamily";
 
 /** Makes a family of each counter. `help` gives the text by name. */
--- a/packages/operator/src/createLatencyFamily.ts
+++ b/packages/base/src/createLatencyFamily.ts
@@ -1,4 +1,4 @@
-import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
+import { LatencyMetrics } from "./latencyMetrics";
 import { MetricFamily } from "./metricFamily";
 
 const microsecondsPerSecond = 1_000_000;
--- a/packages/daemon/src/daemonView.ts
+++ b/packages/daemon/src/daemonView.ts
@@ -1,9 +1,9 @@
 import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
+import { createCounterFamilies } from "@vanillarouter/base/createCounterFamilies";
+import { createLatencyFamily } from "@vanillarouter/base/createLatencyFamily";
+import { MetricFamily } from "@vanillarouter/base/metricFamily";
 import { CallerListener } from "@vanillarouter/caller/callerListener";
 import { ConfigurationItem } from "@vanillarouter/operator/configurationItem";
-import { createCounterFamilies } from "@vanillarouter/operator/createCounterFamilies";
-import { createLatencyFamily } from "@vanillarouter/operator/createLatencyFamily";
-import { MetricFamily } from "@vanillarouter/operator/metricFamily";
 import { NodeView } from "@vanillarouter/operator/nodeView";
 import { ConfigurationSection } from "@vanillarouter/platform/configurationSection";
 import { findSection } from "@vanillarouter/platform/findSection";
--- a/packages/operator/src/administrationRoutes.ts
+++ b/packages/operator/src/administrationRoutes.ts
@@ -1,5 +1,6 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { formatMetrics } from "@vanillarouter/base/formatMetrics";
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { ConfigurationEdit } from "@vanillarouter/platform/configurationEdit";
@@ -10,7 +11,6 @@
 import { ApiRequest } from "./apiRequest";
 import { ConfigurationWriter } from "./configurationWriter";
 import { Diagnostics } from "./diagnostics";
-import { formatMetrics } from "./formatMetrics";
 import { NodeView } from "./nodeView";
 import { requestSchemas } from "./requestSchemas";
 
--- a/packages/operator/src/administrationServer.test.ts
+++ b/packages/operator/src/administrationServer.test.ts
@@ -1,4 +1,5 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
+import { createLatencyFamily } from "@vanillarouter/base/createLatencyFamily";
 import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { ConfigurationChange } from "@vanillarouter/platform/configurationChange";
@@ -8,7 +9,6 @@
 import { Err, Ok } from "ts-results";
 import { AdministrationServer } from "./administrationServer";
 import { ConfigurationWriter } from "./configurationWriter";
-import { createLatencyFamily } from "./createLatencyFamily";
 import { Diagnostics } from "./diagnostics";
 import { NodeView } from "./nodeView";
 
--- a/packages/operator/src/nodeView.ts
+++ b/packages/operator/src/nodeView.ts
@@ -1,6 +1,6 @@
+import { MetricFamily } from "@vanillarouter/base/metricFamily";
 import { ConfigurationSection } from "@vanillarouter/platform/configurationSection";
 import { ConfigurationItem } from "./configurationItem";
-import { MetricFamily } from "./metricFamily";
 
 /** The state of a VM as the administration API shows it. Values that go to operators are plain JSON. */
 export interface NodeView {
--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -12,6 +12,7 @@
     /** Wakes tasks that depend on the list of upstreams. */
     public readonly upstreamsChanged = Signal.create<void>();
     private current: RoutingConfiguration | undefined;
+    private appliedAt = 0;
     private readonly entries = new Map<string, UpstreamEntry>();
     private readonly missingSince = new Map<string, number>();
     private readonly members = new Set<string>();
@@ -28,6 +29,11 @@
         return this.current;
     }
 
+    /** Milliseconds since the configuration came into force; zero without one. */
+    public get configurationAgeMs(): number {
+        return this.current === undefined ? 0 : this.clock.now() - this.appliedAt;
+    }
+
     public get memberIds(): readonly string[] {
         return [...this.members].sort();
     }
@@ -44,6 +50,7 @@
     public applyConfiguration(configuration: RoutingConfiguration): boolean {
         if (this.current !== undefined && configuration.version <= this.current.version) return false;
         this.current = configuration;
+        this.appliedAt = this.clock.now();
         return true;
     }
 
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -1,10 +1,6 @@
-import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
 import { sleep } from "@vanillarouter/base/sleep";
-import * as bunyan from "bunyan";
-import { ClusterState } from "../cluster/clusterState";
-import { ServiceGroups } from "../cluster/serviceGroups";
 import { Diagnostics } from "../diagnostics";
 import { CallerChannel } from "../model/callerChannel";
 import { CallerStatement } from "../model/callerStatement";
@@ -12,30 +8,13 @@
 import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { WorkClass } from "../model/workClass";
-import { EntryMetrics } from "./entryMetrics";
 import { failStatement } from "./failStatement";
 import { FloorTable } from "./floorTable";
 import { OpenTransaction } from "./openTransaction";
 import { ServedRequest } from "./servedRequest";
+import { SessionContext } from "./sessionContext";
 import { SessionValues } from "./sessionValues";
-import { Shutdown } from "./shutdown";
 import { StatementOutcome } from "./statementOutcome";
-import { StatementRunner } from "./statementRunner";
-import { TargetFinder } from "./targetFinder";
-import { WriteConfirmer } from "./writeConfirmer";
-
-/** What the sessions of a VM share. */
-interface SessionContext {
-    readonly clock: Clock;
-    readonly cluster: ClusterState;
-    readonly groups: ServiceGroups;
-    readonly targets: TargetFinder;
-    readonly confirmer: WriteConfirmer;
-    readonly runner: StatementRunner;
-    readonly metrics: EntryMetrics;
-    readonly shutdown: Shutdown;
-    readonly log: bunyan;
-}
 
 /** Serves one caller's connection. */
 export class CallerSession {
@@ -128,8 +107,7 @@
         const workClass = this.findClass();
         if (workClass === undefined) return this.answer(failStatement(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
         const req = this.createRequest(statement, workClass, receivedAt, statement.readOnly);
-        const { clock, groups, targets, confirmer } = this.context;
-        this.transaction = OpenTransaction.create(clock, groups.obtain(workClass.service), targets, confirmer, req);
+        this.transaction = OpenTransaction.create(this.context, this.context.groups.obtain(workClass.service), req);
         this.state = TransactionState.Open;
         this.answerLocally();
     }
@@ -180,7 +158,7 @@
         const latencyMs = this.context.clock.now() - receivedAt;
         this.context.metrics.record(workClass, outcome.error, latencyMs);
         if (outcome.error === undefined) return;
-        this.context.log.info({
+        this.context.decisions.noteFailed("statement.failed", {
             req: statement.id,
             class: workClass,
             service: this.findClass()?.service,
@@ -188,6 +166,6 @@
             error: outcome.error,
             ms: Math.round(latencyMs),
             text: outcome.text,
-        }, "statement.failed");
+        });
     }
 }
--- /dev/null
+++ b/packages/session/src/entry/describeTarget.ts
@@ -0,0 +1,12 @@
+import { Target } from "./target";
+
+/** Returns the log fields that say where an operation ran and what proved that place, as of `startedAt`. */
+export function describeTarget(target: Target, startedAt: number): Readonly<Record<string, unknown>> {
+    return {
+        upstream: target.pool.entry.id,
+        role: target.primaryTerm === undefined ? "replica" : "primary",
+        term: target.primaryTerm,
+        floor: target.floor === undefined ? undefined : `${target.floor.term}.${target.floor.position}`,
+        proofAgeMs: target.provenAt === undefined ? undefined : Math.round(startedAt - target.provenAt),
+    };
+}
--- a/packages/session/src/entry/entryMetrics.ts
+++ b/packages/session/src/entry/entryMetrics.ts
@@ -5,6 +5,7 @@
 /** Counters and latencies of the statements that this VM answered. */
 export class EntryMetrics {
     public readonly latencies = LatencyMetrics.create();
+    public readonly failovers = LatencyMetrics.create();
     public readonly counters = CounterMetrics.create();
 
     private constructor() {}
--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -8,7 +8,7 @@
 
 function createTransaction(bed: TestBed): OpenTransaction {
     bed.group.belief.confirm("u1", 1);
-    return OpenTransaction.create(bed.clock, bed.group, bed.targets, bed.confirmer, bed.createRequest(Freshness.Latest, false));
+    return OpenTransaction.create(bed.context, bed.group, bed.createRequest(Freshness.Latest, false));
 }
 
 // Guards against a false promise: a COMMIT whose answer was lost may have taken effect.
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -1,4 +1,3 @@
-import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
@@ -11,12 +10,12 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamAnswer } from "../model/upstreamAnswer";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
+import { describeTarget } from "./describeTarget";
+import { EntryContext } from "./entryContext";
 import { failStatement } from "./failStatement";
 import { ServedRequest } from "./servedRequest";
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
-import { TargetFinder } from "./targetFinder";
-import { WriteConfirmer } from "./writeConfirmer";
 
 const mostAttempts = 5;
 const retryPauseMs = 8;
@@ -27,21 +26,15 @@
     private held: { readonly target: Target; readonly connection: UpstreamConnection; } | undefined;
     private hasWritten = false;
 
-    private constructor(
-        private readonly clock: Clock,
-        private readonly group: ServiceGroup,
-        private readonly targets: TargetFinder,
-        private readonly confirmer: WriteConfirmer,
-        private readonly req: ServedRequest,
-    ) {}
+    private constructor(private readonly context: EntryContext, private readonly group: ServiceGroup, private readonly req: ServedRequest) {}
 
-    public static create(clock: Clock, group: ServiceGroup, targets: TargetFinder, confirmer: WriteConfirmer, req: ServedRequest): OpenTransaction {
-        return new OpenTransaction(clock, group, targets, confirmer, req);
+    public static create(context: EntryContext, group: ServiceGroup, req: ServedRequest): OpenTransaction {
+        return new OpenTransaction(context, group, req);
     }
 
     /** Runs a read or write. After an error the transaction is over and nothing of it is kept. */
     public *runStatement(statement: CallerStatement): Operation<StatementOutcome> {
-        const deadline = this.clock.now() + this.req.workClass.statementTimeoutMs;
+        const deadline = this.context.clock.now() + this.req.workClass.statementTimeoutMs;
         const refusal = yield* this.begin(statement, deadline);
         if (refusal !== undefined) return refusal;
         const answer = yield* this.forward(statement, deadline);
@@ -52,7 +45,7 @@
     }
 
     public *commit(statement: CallerStatement): Operation<StatementOutcome> {
-        const deadline = this.clock.now() + this.req.workClass.statementTimeoutMs;
+        const deadline = this.context.clock.now() + this.req.workClass.statementTimeoutMs;
         const refusal = yield* this.begin(statement, deadline);
         if (refusal !== undefined) return refusal;
         const { target, connection } = this.held!;
@@ -69,7 +62,7 @@
         if (answer.state === TransactionState.Idle) target.pool.returnConnection(connection);
         else target.pool.discard(connection);
         if (this.hasWritten) {
-            if (answer.applied === undefined || !(yield* this.confirmer.confirm(this.group, target.primaryTerm!, answer.applied, deadline))) {
+            if (answer.applied === undefined || !(yield* this.context.confirmer.confirm(this.group, target.primaryTerm!, answer.applied, deadline))) {
                 return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
             }
             this.req.floors.raise(this.req.workClass.service, answer.applied);
@@ -103,7 +96,7 @@
             }
             const answer = yield* connection.run(
                 { kind: CommandKind.Forward, id: statement.id, text: statement.text, name: statement.name, preparedName },
-                Math.max(1, deadline - this.clock.now()),
+                Math.max(1, deadline - this.context.clock.now()),
             );
             if (answer === undefined) target.pool.noteFailure();
             else target.pool.noteAnswer(answer.applied);
@@ -139,14 +132,21 @@
     /** Begins at an upstream unless the transaction has begun. Returns an outcome if that failed. */
     private *begin(statement: CallerStatement, deadline: number): Operation<StatementOutcome | undefined> {
         if (this.held !== undefined) return undefined;
-        const giveUpAt = this.clock.now() + this.req.workClass.statementTimeoutMs * waitShare;
+        const giveUpAt = this.context.clock.now() + this.req.workClass.statementTimeoutMs * waitShare;
         const avoided = new Set<string>();
-        for (let attempt = 0; attempt < mostAttempts && this.clock.now() < giveUpAt; attempt++) {
-            if (attempt > 0) yield* sleep(this.clock, retryPauseMs * attempt);
-            const target = yield* this.targets.find(this.group, this.req, avoided, giveUpAt);
+        for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
+            if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
+            const target = yield* this.context.targets.find(this.group, this.req, avoided, giveUpAt);
             if (target === undefined) break;
             if (yield* this.beginAt(target, giveUpAt, deadline)) return undefined;
             avoided.add(target.pool.entry.id);
+            this.context.decisions.noteFailed("transaction.not-begun", {
+                req: this.req.id,
+                statement: statement.id,
+                service: this.group.service,
+                ...describeTarget(target, this.context.clock.now()),
+                attempt,
+            });
         }
         return failStatement(ErrorKind.Aborted, Diagnostics.transactionLost, `could not begin for ${statement.id}`);
     }
@@ -162,7 +162,7 @@
         try {
             answer = yield* connection.run(
                 { kind: CommandKind.Begin, readOnly: this.req.readOnly, floor: target.floor },
-                Math.max(1, deadline - this.clock.now()),
+                Math.max(1, deadline - this.context.clock.now()),
             );
         }
         finally {
@@ -178,6 +178,13 @@
         if (answer.error === ErrorKind.ReadOnly) this.group.belief.suspect("the primary refused a transaction");
         if (answer.state !== TransactionState.Open) return false;
         this.held = { target, connection };
+        const startedAt = this.context.clock.now();
+        this.context.decisions.noteServed("transaction.begun", {
+            req: this.req.id,
+            service: this.group.service,
+            ...describeTarget(target, startedAt),
+            waitedMs: Math.round(startedAt - this.req.receivedAt),
+        });
         return true;
     }
 }
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -1,7 +1,5 @@
-import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
-import * as bunyan from "bunyan";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { Diagnostics } from "../diagnostics";
 import { CallerStatement } from "../model/callerStatement";
@@ -12,12 +10,12 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamAnswer } from "../model/upstreamAnswer";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
+import { describeTarget } from "./describeTarget";
+import { EntryContext } from "./entryContext";
 import { failStatement } from "./failStatement";
 import { ServedRequest } from "./servedRequest";
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
-import { TargetFinder } from "./targetFinder";
-import { WriteConfirmer } from "./writeConfirmer";
 
 const mostAttempts = 5;
 const retryPauseMs = 8;
@@ -30,15 +28,10 @@
 
 /** Runs single statements: finds an upstream, runs, repeats what is known not to have run and confirms writes. */
 export class StatementRunner {
-    private constructor(
-        private readonly clock: Clock,
-        private readonly targets: TargetFinder,
-        private readonly confirmer: WriteConfirmer,
-        private readonly log: bunyan,
-    ) {}
+    private constructor(private readonly context: EntryContext) {}
 
-    public static create(clock: Clock, targets: TargetFinder, confirmer: WriteConfirmer, log: bunyan): StatementRunner {
-        return new StatementRunner(clock, targets, confirmer, log);
+    public static create(context: EntryContext): StatementRunner {
+        return new StatementRunner(context);
     }
 
     public *run(group: ServiceGroup, req: ServedRequest, statement: CallerStatement): Operation<StatementOutcome> {
@@ -46,19 +39,39 @@
         const giveUpAt = req.receivedAt + req.workClass.statementTimeoutMs * waitShare;
         const avoided = new Set<string>();
         let last = failStatement(ErrorKind.Busy, Diagnostics.overloaded, req.workClass.targetMs);
-        for (let attempt = 0; attempt < mostAttempts && this.clock.now() < giveUpAt; attempt++) {
-            if (attempt > 0) yield* sleep(this.clock, retryPauseMs * attempt);
-            const target = yield* this.targets.find(group, req, avoided, giveUpAt);
+        for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
+            if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
+            const target = yield* this.context.targets.find(group, req, avoided, giveUpAt);
             if (target === undefined) return this.explainMissingTarget(group, req);
+            const startedAt = this.context.clock.now();
             const outcome = yield* this.runOnce(group, req, statement, target, giveUpAt, deadline);
+            this.noteAttempt(req, statement, target, outcome, attempt, startedAt);
             if (outcome.error === undefined || !this.mayRepeat(req, outcome.error)) return outcome;
             last = outcome;
             avoided.add(target.pool.entry.id);
-            this.log.debug({ req: statement.id, upstream: target.pool.entry.id, attempt, error: outcome.error }, "statement.repeated");
         }
         return this.makeFinal(req, last);
     }
 
+    /** Logs one attempt with what decided its place: the primary's term, the floor and the age of the proof. */
+    private noteAttempt(req: ServedRequest, statement: CallerStatement, target: Target, outcome: StatementOutcome, attempt: number, startedAt: number): void {
+        const now = this.context.clock.now();
+        const result = outcome.error ?? "answered";
+        const fields = {
+            req: statement.id,
+            service: req.workClass.service,
+            ...describeTarget(target, startedAt),
+            attempt,
+            waitedMs: Math.round(startedAt - req.receivedAt),
+            ms: Math.round(now - startedAt),
+            outcome: result,
+        };
+        const role = target.primaryTerm === undefined ? "replica" : "primary";
+        this.context.metrics.counters.add("vanillarouter_attempts_total", `service="${req.workClass.service}",role="${role}",outcome="${result}"`);
+        if (outcome.error === undefined) this.context.decisions.noteServed("statement.run", fields);
+        else this.context.decisions.noteFailed("statement.run", fields);
+    }
+
     private explainMissingTarget(group: ServiceGroup, req: ServedRequest): StatementOutcome {
         if (group.findPrimary() === undefined) return failStatement(ErrorKind.Busy, Diagnostics.noPrimary, group.service);
         return failStatement(req.readOnly ? ErrorKind.Lagging : ErrorKind.Busy, Diagnostics.notFreshEnough);
@@ -105,7 +118,7 @@
             return failStatement(granted.val === ErrorKind.TimedOut ? ErrorKind.Other : granted.val, Diagnostics.overloaded, req.workClass.targetMs);
         }
         const connection = granted.val;
-        const sentAt = this.clock.now();
+        const sentAt = this.context.clock.now();
         let answer: UpstreamAnswer | undefined;
         const stopSuspecting = this.suspectLater(group, target);
         try {
@@ -140,11 +153,11 @@
     /** Has the group examined if the primary takes longer than usual. Returns a function that calls this off. */
     private suspectLater(group: ServiceGroup, target: Target): () => void {
         if (target.primaryTerm === undefined) return () => {};
-        return this.clock.startTimer(slowPrimaryMs, () => group.belief.suspect("an answer of the primary is overdue"));
+        return this.context.clock.startTimer(slowPrimaryMs, () => group.belief.suspect("an answer of the primary is overdue"));
     }
 
     private limitAttempt(req: ServedRequest, deadline: number): number {
-        const remainingMs = Math.max(1, deadline - this.clock.now());
+        const remainingMs = Math.max(1, deadline - this.context.clock.now());
         if (!req.readOnly) return remainingMs;
         const attemptMs = Math.max(leastReadAttemptMs, req.workClass.targetMs * readAttemptShare);
         // A second attempt is worth it only if it has as much time as the first.
@@ -171,7 +184,7 @@
             return failStatement(answer.error, Diagnostics.upstreamFailed, answer.errorText);
         }
         if (!req.readOnly && target.primaryTerm !== undefined) {
-            if (answer.applied === undefined || !(yield* this.confirmer.confirm(group, target.primaryTerm, answer.applied, deadline))) {
+            if (answer.applied === undefined || !(yield* this.context.confirmer.confirm(group, target.primaryTerm, answer.applied, deadline))) {
                 return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
             }
             req.floors.raise(req.workClass.service, answer.applied);
--- /dev/null
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -0,0 +1,43 @@
+import { createCounterFamilies } from "@vanillarouter/base/createCounterFamilies";
+import { createLatencyFamily } from "@vanillarouter/base/createLatencyFamily";
+import { MetricFamily } from "@vanillarouter/base/metricFamily";
+import { ClusterState } from "../cluster/clusterState";
+import { EntryMetrics } from "../entry/entryMetrics";
+import { UpstreamPools } from "../upstream/upstreamPools";
+
+const counterHelp: Readonly<Record<string, string>> = {
+    vanillarouter_statements_total: "Statements by class and outcome.",
+    vanillarouter_attempts_total: "Attempts at statements by service, role of the upstream and outcome.",
+    vanillarouter_store_calls_total: "Calls to the platform's store by kind and answer.",
+    vanillarouter_promotions_total: "Promotions by service and outcome.",
+};
+
+function createGauge(name: string, help: string, samples: readonly { readonly labels: string; readonly value: number; }[]): MetricFamily {
+    return { name, help, type: "gauge", samples };
+}
+
+/** Collects all metrics of a VM. */
+export function collectMetrics(metrics: EntryMetrics, cluster: ClusterState, pools: UpstreamPools): readonly MetricFamily[] {
+    const label = (pool: { readonly entry: { readonly id: string; readonly service: string; }; }): string =>
+        `service="${pool.entry.service}",upstream="${pool.entry.id}"`;
+    return [
+        createLatencyFamily("vanillarouter_statement_seconds", "Time from arrival to the whole answer.", metrics.latencies),
+        createLatencyFamily("vanillarouter_failover_seconds", "Time from the claim to each phase of a promotion.", metrics.failovers),
+        ...createCounterFamilies(metrics.counters, counterHelp),
+        createGauge("vanillarouter_configuration_version", "Version of the configuration in force.", [{
+            labels: "",
+            value: cluster.configuration?.version ?? 0,
+        }]),
+        createGauge("vanillarouter_configuration_age_seconds", "Time since the configuration came into force.", [{
+            labels: "",
+            value: cluster.configurationAgeMs / 1000,
+        }]),
+        createGauge("vanillarouter_members", "VMs that are listed.", [{ labels: "", value: cluster.memberIds.length }]),
+        createGauge("vanillarouter_upstream_connections", "Open connections.", pools.all.map(pool => ({ labels: label(pool), value: pool.openConnections }))),
+        createGauge(
+            "vanillarouter_upstream_load",
+            "Running and waiting statements per slot.",
+            pools.all.map(pool => ({ labels: label(pool), value: pool.load })),
+        ),
+    ];
+}
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -4,6 +4,8 @@
 import * as bunyan from "bunyan";
 import { ClusterState } from "../cluster/clusterState";
 import { ServiceGroup } from "../cluster/serviceGroup";
+import { EntryContext } from "../entry/entryContext";
+import { EntryMetrics } from "../entry/entryMetrics";
 import { FloorTable } from "../entry/floorTable";
 import { ServedRequest } from "../entry/servedRequest";
 import { SessionValues } from "../entry/sessionValues";
@@ -16,6 +18,7 @@
 import { CallerStatement } from "../model/callerStatement";
 import { Freshness } from "../model/freshness";
 import { StatementKind } from "../model/statementKind";
+import { DecisionLog } from "../observability/decisionLog";
 import { UpstreamPools } from "../upstream/upstreamPools";
 import { FakeDialer } from "./fakeDialer";
 import { FakeGroupServers } from "./fakeGroupServers";
@@ -35,9 +38,14 @@
     public readonly log = bunyan.createLogger({ name: "test", level: bunyan.FATAL + 1 });
     public readonly pools = UpstreamPools.create(this.cluster, this.clock, this.dialer, "zone-1");
     public readonly group = ServiceGroup.create(service, this.clock, this.pools, this.suspension, this.log);
-    public readonly targets = TargetFinder.create(this.clock, "zone-1");
-    public readonly confirmer = WriteConfirmer.create(this.clock);
-    public readonly runner = StatementRunner.create(this.clock, this.targets, this.confirmer, this.log);
+    public readonly context: EntryContext = {
+        clock: this.clock,
+        targets: TargetFinder.create(this.clock, "zone-1"),
+        confirmer: WriteConfirmer.create(this.clock),
+        decisions: DecisionLog.create(this.log, this.clock),
+        metrics: EntryMetrics.create(),
+    };
+    public readonly runner = StatementRunner.create(this.context);
     public readonly floors = FloorTable.create();
     public readonly session = SessionValues.create();
     /** Fencing tokens handed out so far; undefined ends claims. */
