Count status calls without an answer as failures; close sessions only between operations

Cause 1: a status call that timed out was cancelled before it was counted, so an isolated VM took the upstreams that it had not used for reachable. Cause 2: sessions were closed after SET or PREPARE, which are part of an operation.

--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -12,6 +12,8 @@
 import { PrimaryBelief } from "./primaryBelief";
 
 const statusTimeoutMs = 400;
+/** Part of the maximum age after which a newer position is fetched, before the known one can no longer be used. */
+const refreshAge = 0.75;
 
 /** One database group as this VM sees it: the primary, its proven positions and the pools of its upstreams. */
 export class ServiceGroup {
@@ -55,7 +57,7 @@
      */
     public *obtainFloor(maxAgeMs: number, giveUpAt: number): Operation<LogPosition | undefined> {
         for (;;) {
-            if (this.samples.newestAgeMs > maxAgeMs / 2) this.startRefresh();
+            if (this.samples.newestAgeMs > maxAgeMs * refreshAge) this.startRefresh();
             const known = this.samples.findOldest(maxAgeMs);
             if (known !== undefined) return known;
             if (this.clock.now() >= giveUpAt || this.refreshing === undefined || this.isIsolated) return undefined;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -16,12 +16,15 @@
 import { SessionValues } from "./sessionValues";
 import { StatementOutcome } from "./statementOutcome";
 
+const operationEnds: ReadonlySet<StatementKind> = new Set([StatementKind.Read, StatementKind.Write, StatementKind.Execute, StatementKind.Commit, StatementKind.Rollback]);
+
 /** Serves one caller's connection. */
 export class CallerSession {
     private state = TransactionState.Idle;
     private readonly session = SessionValues.create();
     private readonly floors = FloorTable.create();
     private transaction: OpenTransaction | undefined;
+    private lastEndedOperation = false;
 
     private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {}
 
@@ -41,7 +44,7 @@
                 const statement = yield* this.receive();
                 if (statement === undefined) return;
                 yield* this.serve(statement, this.context.clock.now());
-                if (this.state === TransactionState.Idle && this.context.shutdown.closesAnswered) return;
+                if (this.isBetweenOperations && this.context.shutdown.closesAnswered) return;
             }
         }
         finally {
@@ -50,6 +53,11 @@
         }
     }
 
+    /** A caller that has set values or prepared statements is about to use them. */
+    private get isBetweenOperations(): boolean {
+        return this.state === TransactionState.Idle && this.lastEndedOperation;
+    }
+
     private findClass(): WorkClass | undefined {
         return this.context.cluster.findClass(this.channel.database);
     }
@@ -57,7 +65,8 @@
     /** Waits for a statement. Returns undefined if the session is to end. */
     private *receive(): Operation<CallerStatement | undefined> {
         const waits: Operation<CallerStatement | undefined>[] = [this.channel.receive()];
-        if (this.state === TransactionState.Idle) waits.push(this.context.shutdown.awaitIdleClose());
+        if (this.isBetweenOperations) waits.push(this.context.shutdown.awaitIdleClose());
+        else if (this.state === TransactionState.Idle) waits.push(this.context.shutdown.awaitTransactionClose());
         else waits.push(this.awaitTransactionEnd());
         return yield* race(waits);
     }
@@ -72,6 +81,7 @@
     }
 
     private *serve(statement: CallerStatement, receivedAt: number): Operation<void> {
+        this.lastEndedOperation = operationEnds.has(statement.kind);
         if (this.state === TransactionState.Failed && statement.kind !== StatementKind.Rollback && statement.kind !== StatementKind.Commit) {
             this.answer(failStatement(ErrorKind.Malformed, Diagnostics.transactionFailed));
             return;
@@ -106,14 +116,14 @@
         if (this.state !== TransactionState.Idle) return this.answer(failStatement(ErrorKind.Malformed, Diagnostics.malformedStatement));
         const workClass = this.findClass();
         if (workClass === undefined) return this.answer(failStatement(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
-        const req = this.createRequest(statement, workClass, receivedAt, statement.readOnly);
+        const req = this.createRequest(statement, workClass, receivedAt, statement.readOnly, true);
         this.transaction = OpenTransaction.create(this.context, this.context.groups.obtain(workClass.service), req);
         this.state = TransactionState.Open;
         this.answerLocally();
     }
 
-    private createRequest(statement: CallerStatement, workClass: WorkClass, receivedAt: number, readOnly: boolean): ServedRequest {
-        return { id: statement.id, workClass, session: this.session, floors: this.floors, receivedAt, readOnly };
+    private createRequest(statement: CallerStatement, workClass: WorkClass, receivedAt: number, readOnly: boolean, mayRead: boolean): ServedRequest {
+        return { id: statement.id, workClass, session: this.session, floors: this.floors, receivedAt, readOnly, mayRead };
     }
 
     private *serveData(statement: CallerStatement, receivedAt: number): Operation<void> {
@@ -129,7 +139,7 @@
         if (workClass === undefined) return this.answer(failStatement(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
         if (statement.kind === StatementKind.Commit) return this.answer(failStatement(ErrorKind.Malformed, Diagnostics.malformedStatement));
         const readOnly = statement.kind === StatementKind.Read || prepared?.readOnly === true;
-        const req = this.createRequest(statement, workClass, receivedAt, readOnly);
+        const req = this.createRequest(statement, workClass, receivedAt, readOnly, readOnly);
         const outcome = yield* this.context.runner.run(this.context.groups.obtain(workClass.service), req, statement);
         this.report(statement, workClass.database, receivedAt, outcome);
         this.answer(outcome);
--- a/packages/session/src/entry/servedRequest.ts
+++ b/packages/session/src/entry/servedRequest.ts
@@ -13,4 +13,6 @@
     readonly receivedAt: number;
     /** Only reads: any fresh upstream may run it, any number of times. */
     readonly readOnly: boolean;
+    /** Returns data, so the upstream has to be proven fresh enough. False for a single write. */
+    readonly mayRead: boolean;
 }
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -29,7 +29,8 @@
     /** Returns undefined if no upstream is proven suitable by `giveUpAt`. Upstreams in `avoided` come last. */
     public *find(group: ServiceGroup, req: ServedRequest, avoided: ReadonlySet<string>, giveUpAt: number): Operation<Target | undefined> {
         const mayUseReplica = req.readOnly && req.workClass.freshness !== Freshness.Latest;
-        if (req.workClass.freshness === Freshness.Latest) return yield* this.proveLatest(group, req, giveUpAt);
+        if (req.workClass.freshness === Freshness.Latest && req.mayRead) return yield* this.proveLatest(group, req, giveUpAt);
+        if (!req.mayRead) return yield* this.findPrimary(group, giveUpAt);
         const floor = yield* this.awaitFloor(group, req, giveUpAt);
         if (floor === undefined) return undefined;
         const required = this.takeHigher(floor, req.floors.find(req.workClass.service));
@@ -44,6 +45,12 @@
         return primary === undefined ? undefined : { pool: primary.pool, floor: required, primaryTerm: primary.term, provenAt: undefined };
     }
 
+    /** A write needs no proof before it runs: it is confirmed afterwards. */
+    private *findPrimary(group: ServiceGroup, giveUpAt: number): Operation<Target | undefined> {
+        const primary = yield* this.awaitPrimary(group, giveUpAt);
+        return primary === undefined || group.isIsolated ? undefined : { pool: primary.pool, floor: undefined, primaryTerm: primary.term, provenAt: undefined };
+    }
+
     /** Waits until a primary is known. */
     public *awaitPrimary(group: ServiceGroup, giveUpAt: number): Operation<{ readonly pool: UpstreamPool; readonly term: number; } | undefined> {
         for (;;) {
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -90,7 +90,7 @@
 
     public createRequest(freshness: Freshness, readOnly: boolean, maxAgeMs = 1_000): ServedRequest {
         const workClass = { database: "db", service, freshness, maxAgeMs, statementTimeoutMs: 1_000, targetMs: 200, rank: 0 };
-        return { id: "r", workClass, session: this.session, floors: this.floors, receivedAt: this.clock.now(), readOnly };
+        return { id: "r", workClass, session: this.session, floors: this.floors, receivedAt: this.clock.now(), readOnly, mayRead: readOnly };
     }
 
     public createStatement(id: string, kind: StatementKind, text: string): CallerStatement {
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -135,7 +135,9 @@
 
     /** Asks the upstream for its status, or fences or demotes it. Undefined without an answer in time. */
     public *runControl(kind: CommandKind, timeoutMs: number, term?: number): Operation<UpstreamStatus | undefined> {
-        return yield* withTimeout(this.clock, timeoutMs, this.runControlCommand(kind, timeoutMs, term));
+        const status = yield* withTimeout(this.clock, timeoutMs, this.runControlCommand(kind, timeoutMs, term));
+        if (status === undefined) this.noteFailure();
+        return status;
     }
 
     /** Records the log position that an answer carried. */
@@ -171,10 +173,7 @@
         let usable = false;
         try {
             const answer = yield* connection.run({ kind, term }, timeoutMs);
-            if (answer === undefined) {
-                this.noteFailure();
-                return undefined;
-            }
+            if (answer === undefined) return undefined;
             usable = answer.state === TransactionState.Idle;
             this.noteAnswer(answer.applied);
             return connection.link.readStatus(answer);
