--- a/packages/session/src/cluster/serviceGroups.ts
+++ b/packages/session/src/cluster/serviceGroups.ts
@@ -4,9 +4,13 @@
 import { UpstreamPools } from "../upstream/upstreamPools";
 import { ServiceGroup } from "./serviceGroup";
 
+/** One silent upstream has the other groups examined at most this often. */
+const suspectPauseMs = 2_000;
+
 /** The database groups that this VM has met. */
 export class ServiceGroups {
     private readonly groups = new Map<string, ServiceGroup>();
+    private suspectedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(
         private readonly clock: Clock,
@@ -33,6 +37,14 @@
         return groups.length > 0 && groups.filter(group => group.isIsolated).length > groups.length / 2;
     }
 
+    /** Has every group examined, because an upstream that stops answering may mean that this VM is cut off. */
+    public suspectAll(reason: string): void {
+        const now = this.clock.now();
+        if (now - this.suspectedAt < suspectPauseMs) return;
+        this.suspectedAt = now;
+        for (const group of this.groups.values()) group.belief.suspect(reason);
+    }
+
     public obtain(service: string): ServiceGroup {
         const known = this.groups.get(service);
         if (known !== undefined) return known;
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -24,7 +24,7 @@
 /** A read tries another upstream after this share of its target, and not before `leastReadAttemptMs`. */
 const readAttemptShare = 0.75;
 const leastReadAttemptMs = 300;
-const slowPrimaryMs = 300;
+const slowPrimaryMs = 250;
 
 /** Runs single statements: finds an upstream, runs, repeats what is known not to have run and confirms writes. */
 export class StatementRunner {
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -33,10 +33,19 @@
         private readonly clock: Clock,
         private readonly suspension: SuspensionDetector,
         private readonly promotion: Promotion,
+        private readonly onSilence: (reason: string) => void,
     ) {}
 
-    public static create(group: ServiceGroup, cluster: ClusterState, clock: Clock, suspension: SuspensionDetector, promotion: Promotion): GroupWatcher {
-        return new GroupWatcher(group, cluster, clock, suspension, promotion);
+    /** `onSilence` is called when an upstream of the group does not answer. */
+    public static create(
+        group: ServiceGroup,
+        cluster: ClusterState,
+        clock: Clock,
+        suspension: SuspensionDetector,
+        promotion: Promotion,
+        onSilence: (reason: string) => void,
+    ): GroupWatcher {
+        return new GroupWatcher(group, cluster, clock, suspension, promotion, onSilence);
     }
 
     public *run(): Operation<never> {
@@ -81,6 +90,8 @@
         const examinedAt = this.clock.now();
         const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs, undefined, report => this.noteReport(report));
         if (this.suspension.check() !== generation) return;
+        const silent = reports.find(report => report.status === undefined);
+        if (silent !== undefined) this.onSilence(`upstream ${silent.pool.entry.id} does not answer`);
         const primary = findPrimaryReport(reports);
         const trouble = this.findTrouble(reports, primary);
         if (primary !== undefined && trouble !== GroupTrouble.Fenced) this.group.belief.confirm(primary.pool.entry.id, primary.status!.term);
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -85,7 +85,7 @@
     }
 
     public createWatcher(): GroupWatcher {
-        return GroupWatcher.create(this.group, this.cluster, this.clock, this.suspension, this.createPromotion());
+        return GroupWatcher.create(this.group, this.cluster, this.clock, this.suspension, this.createPromotion(), () => undefined);
     }
 
     public createRequest(freshness: Freshness, readOnly: boolean, maxAgeMs = 1_000): ServedRequest {
