--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -16,7 +16,13 @@
 import { SessionValues } from "./sessionValues";
 import { StatementOutcome } from "./statementOutcome";
 
-const operationEnds: ReadonlySet<StatementKind> = new Set([StatementKind.Read, StatementKind.Write, StatementKind.Execute, StatementKind.Commit, StatementKind.Rollback]);
+const operationEnds: ReadonlySet<StatementKind> = new Set([
+    StatementKind.Read,
+    StatementKind.Write,
+    StatementKind.Execute,
+    StatementKind.Commit,
+    StatementKind.Rollback,
+]);
 
 /** Serves one caller's connection. */
 export class CallerSession {
--- /dev/null
+++ b/packages/standins/src/line/lineUpstream.ts
@@ -0,0 +1,91 @@
+import { CommandKind } from "@vanillarouter/session/model/commandKind";
+import { TransactionState } from "@vanillarouter/session/model/transactionState";
+import { UpstreamCommand } from "@vanillarouter/session/model/upstreamCommand";
+import { FakeUpstreamServer } from "@vanillarouter/session/testing/fakeUpstreamServer";
+import { AddressInfo, createServer, Server, Socket } from "node:net";
+import { createInterface } from "node:readline";
+
+const stateWords: Readonly<Record<TransactionState, string>> = { [TransactionState.Idle]: "I", [TransactionState.Open]: "T", [TransactionState.Failed]: "E" };
+
+function parseCommand(id: string, text: string): UpstreamCommand {
+    const [word = "", first = "", second = "", ...rest] = text.split(" ");
+    switch (word) {
+        case "AFTER": {
+            const [term, position] = first.split(".").map(Number) as [number, number];
+            return { ...parseCommand(id, [second, ...rest].join(" ")), floor: { term, position } };
+        }
+        case "BEGIN":
+            return { kind: CommandKind.Begin, readOnly: first === "READ" };
+        case "ROLLBACK":
+            return { kind: CommandKind.Rollback };
+        case "RESET":
+            return { kind: CommandKind.Reset };
+        case "SET":
+            return { kind: CommandKind.SetValue, name: first, text: second };
+        case "PREPARE":
+            return { kind: CommandKind.Prepare, name: first, readOnly: second === "READ", text: rest.join(" ") };
+        case "STATUS":
+            return { kind: CommandKind.Status };
+        case "PAUSE":
+            return { kind: CommandKind.Fence, term: Number(first) };
+        case "DEMOTE":
+            return { kind: CommandKind.Demote, term: Number(first) };
+        default:
+            return { kind: CommandKind.Forward, id, text };
+    }
+}
+
+/** Stand-in of one upstream that speaks the line protocol, over a fake upstream. */
+export class LineUpstream {
+    private constructor(private readonly server: Server, public readonly upstream: FakeUpstreamServer, private readonly service: string) {}
+
+    /** Listens on a free port of the loopback address. */
+    public static async create(upstream: FakeUpstreamServer, service: string): Promise<LineUpstream> {
+        const server = createServer();
+        const created = new LineUpstream(server, upstream, service);
+        server.on("connection", socket => created.serve(socket));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        return created;
+    }
+
+    public get address(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    public close(): void {
+        this.server.close();
+    }
+
+    private serve(socket: Socket): void {
+        const session = this.upstream.createSession();
+        socket.on("error", () => socket.destroy());
+        createInterface({ input: socket }).on("line", line => {
+            if (this.upstream.isSilent) return;
+            const [verb, first = "", ...rest] = line.split(" ");
+            if (verb === "CONNECT") return this.logIn(socket, first, rest[1]);
+            const command = parseCommand(first, rest.join(" "));
+            const answer = this.upstream.run(session, command);
+            if (this.upstream.losesAnswers) return;
+            const isControl = command.kind === CommandKind.Status || command.kind === CommandKind.Fence || command.kind === CommandKind.Demote;
+            const ended = answer.error === undefined
+                ? `DONE ${answer.receipt}`
+                : `ERR ${answer.error === "busy" ? "BUSY" : answer.error.replace("-", "").toUpperCase()} ${this.upstream.id}`;
+            socket.write(`${isControl ? `ROW ${this.formatStatus()}\r\n` : ""}${ended}\r\nREADY ${stateWords[answer.state]} ${this.formatPosition()}\r\n`);
+        });
+    }
+
+    private logIn(socket: Socket, service: string, id: string | undefined): void {
+        const isRight = service === this.service && (id === undefined || id === this.upstream.id);
+        socket.write(isRight ? `READY I ${this.formatPosition()}\r\n` : "ERR MISROUTED wrong name\r\n");
+        if (!isRight) socket.end();
+    }
+
+    private formatPosition(): string {
+        return `${this.upstream.position.term}.${this.upstream.position.position}`;
+    }
+
+    private formatStatus(): string {
+        const status = this.upstream.status;
+        return `${status.isPrimary ? "primary" : "replica"} ${status.term} ${this.formatPosition()} ${status.fenceTerm} 0 0 1`;
+    }
+}
