--- /dev/null
+++ b/packages/session/src/entry/deferredLatencies.ts
@@ -0,0 +1,38 @@
+import type { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
+
+/** A starting VM has more urgent work than loading the histograms, which takes tens of milliseconds. */
+const loadAfterMs = 3_000;
+/** Latencies kept until the histograms are loaded. */
+const mostPending = 20_000;
+
+/** Latency histograms that are loaded some seconds after the start. What is recorded before is kept. */
+export class DeferredLatencies {
+    private metrics: LatencyMetrics | undefined;
+    private pending: { readonly labels: string; readonly latencyMs: number; }[] = [];
+
+    private constructor() {}
+
+    public static create(): DeferredLatencies {
+        const latencies = new DeferredLatencies();
+        setTimeout(() => void latencies.load(), loadAfterMs).unref();
+        return latencies;
+    }
+
+    /** The histograms; undefined until they are loaded. */
+    public get loaded(): LatencyMetrics | undefined {
+        return this.metrics;
+    }
+
+    public record(labels: string, latencyMs: number): void {
+        if (this.metrics !== undefined) this.metrics.record(labels, latencyMs);
+        else if (this.pending.length < mostPending) this.pending.push({ labels, latencyMs });
+    }
+
+    private async load(): Promise<void> {
+        const { LatencyMetrics } = await import("@vanillarouter/base/latencyMetrics");
+        const metrics = LatencyMetrics.create();
+        for (const { labels, latencyMs } of this.pending) metrics.record(labels, latencyMs);
+        this.pending = [];
+        this.metrics = metrics;
+    }
+}
--- a/packages/session/src/entry/entryMetrics.ts
+++ b/packages/session/src/entry/entryMetrics.ts
@@ -1,11 +1,11 @@
 import { CounterMetrics } from "@vanillarouter/base/counterMetrics";
-import { LatencyMetrics } from "@vanillarouter/base/latencyMetrics";
 import { ErrorKind } from "../model/errorKind";
+import { DeferredLatencies } from "./deferredLatencies";
 
 /** Counters and latencies of the statements that this VM answered. */
 export class EntryMetrics {
-    public readonly latencies = LatencyMetrics.create();
-    public readonly failovers = LatencyMetrics.create();
+    public readonly latencies = DeferredLatencies.create();
+    public readonly failovers = DeferredLatencies.create();
     public readonly counters = CounterMetrics.create();
 
     private constructor() {}
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -1,18 +1,14 @@
-import { Clock } from "@vanillarouter/base/clock";
 import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
-import * as bunyan from "bunyan";
 import { ServiceGroup } from "../cluster/serviceGroup";
-import { SuspensionDetector } from "../freshness/suspensionDetector";
 import { CommandKind } from "../model/commandKind";
-import { Promoter } from "../model/promoter";
-import { PromotionClaims } from "../model/promotionClaims";
 import { chooseCandidate } from "./chooseCandidate";
 import { collectReports } from "./collectReports";
 import { findPrimaryReport } from "./findPrimaryReport";
 import { GroupReport } from "./groupReport";
+import { PromotionContext } from "./promotionContext";
 
 /** A claim is used for this time only, and no other VM takes one over before `claimMinAgeMs`. */
 const claimValidMs = 1_800;
@@ -33,41 +29,27 @@
  * while the old primary has been demoted. The upstream with the most complete log is promoted.
  */
 export class Promotion {
-    private constructor(
-        private readonly group: ServiceGroup,
-        private readonly clock: Clock,
-        private readonly suspension: SuspensionDetector,
-        private readonly claims: PromotionClaims,
-        private readonly promoter: Promoter,
-        private readonly log: bunyan,
-    ) {}
+    private constructor(private readonly group: ServiceGroup, private readonly context: PromotionContext) {}
 
-    public static create(
-        group: ServiceGroup,
-        clock: Clock,
-        suspension: SuspensionDetector,
-        claims: PromotionClaims,
-        promoter: Promoter,
-        log: bunyan,
-    ): Promotion {
-        return new Promotion(group, clock, suspension, claims, promoter, log);
+    public static create(group: ServiceGroup, context: PromotionContext): Promotion {
+        return new Promotion(group, context);
     }
 
     /** Runs one attempt. `reports` is the latest examination of the group; `primary` the old primary's part of it. */
     public *run(reports: readonly GroupReport[], primaryId: string | undefined, reason: string): Operation<boolean> {
         const service = this.group.service;
-        const startedAt = this.clock.now();
-        const generation = this.suspension.check();
-        const fenceToken = yield* this.claims.take(service, claimMinAgeMs);
+        const startedAt = this.context.clock.now();
+        const generation = this.context.suspension.check();
+        const fenceToken = yield* this.context.claims.take(service, claimMinAgeMs);
         if (fenceToken === undefined) return false;
         // The examination may have been made before a partition healed or before another VM's promotion.
         const current = yield* collectReports(reports.map(report => report.pool), CommandKind.Status, recheckTimeoutMs);
         if (this.isSettled(reports, current)) {
-            this.log.info({ service, reason, fenceToken }, "promotion.not-needed");
+            this.context.log.info({ service, reason, fenceToken }, "promotion.not-needed");
             return true;
         }
         const term = 1 + Math.max(...current.map(report => Math.max(report.status?.term ?? 0, report.status?.fenceTerm ?? 0)));
-        this.log.info({ service, reason, fenceToken, term, previous: primaryId }, "promotion.started");
+        this.context.log.info({ service, reason, fenceToken, term, previous: primaryId }, "promotion.started");
         const old = current.find(report => report.pool.entry.id === primaryId);
         const others = current.filter(report => report !== old).map(report => report.pool);
         const demoted = yield* this.demote(old, term);
@@ -76,15 +58,19 @@
         const silent = fenced.filter(report => report.status === undefined);
         const candidate = chooseCandidate(fenced);
         if (candidate === undefined || (silent.length > 0 && demoted === undefined)) {
-            this.log.warn({ service, term, silent: silent.map(report => report.pool.entry.id) }, "promotion.fence-incomplete");
+            this.context.log.warn({ service, term, silent: silent.map(report => report.pool.entry.id) }, "promotion.fence-incomplete");
             return false;
         }
-        if (this.suspension.check() !== generation || this.clock.now() - startedAt > claimValidMs) {
-            this.log.warn({ service, term, elapsedMs: Math.round(this.clock.now() - startedAt) }, "promotion.claim-expired");
+        if (this.context.suspension.check() !== generation || this.context.clock.now() - startedAt > claimValidMs) {
+            this.context.log.warn({ service, term, elapsedMs: Math.round(this.context.clock.now() - startedAt) }, "promotion.claim-expired");
             return false;
         }
-        const accepted = yield* this.promoter.promote(service, candidate.pool.entry.id, fenceToken);
-        this.log.info({ service, upstream: candidate.pool.entry.id, received: candidate.status?.received, term, fenceToken, accepted }, "promotion.requested");
+        this.notePhase("fenced", startedAt);
+        const accepted = yield* this.context.promoter.promote(service, candidate.pool.entry.id, fenceToken);
+        this.context.log.info(
+            { service, upstream: candidate.pool.entry.id, received: candidate.status?.received, term, fenceToken, accepted },
+            "promotion.requested",
+        );
         return yield* this.awaitPrimary(candidate, term, startedAt);
     }
 
@@ -95,6 +81,10 @@
         return primary !== undefined && (previous === undefined || primary.status!.term > previous.status!.term);
     }
 
+    private notePhase(phase: string, startedAt: number): void {
+        this.context.metrics.failovers.record(`service="${this.group.service}",phase="${phase}"`, this.context.clock.now() - startedAt);
+    }
+
     private *demote(old: GroupReport | undefined, term: number): Operation<LogPosition | undefined> {
         if (old?.status?.isPrimary !== true) return undefined;
         const status = yield* old.pool.runControl(CommandKind.Demote, controlTimeoutMs, term);
@@ -102,33 +92,34 @@
     }
 
     private *awaitCatchUp(ids: readonly string[], position: LogPosition): Operation<void> {
-        const giveUpAt = this.clock.now() + catchUpMs;
-        while (this.clock.now() < giveUpAt) {
+        const giveUpAt = this.context.clock.now() + catchUpMs;
+        while (this.context.clock.now() < giveUpAt) {
             const pools = ids.flatMap(id => this.group.pools.find(id) ?? []);
             const reports = yield* collectReports(pools, CommandKind.Status, controlTimeoutMs);
             const ready = reports.some(report => report.status !== undefined && compareLogPositions(report.status.received, position) >= 0);
             if (ready) return;
-            yield* sleep(this.clock, promotionPollMs);
+            yield* sleep(this.context.clock, promotionPollMs);
         }
     }
 
     private *awaitPrimary(candidate: GroupReport, term: number, startedAt: number): Operation<boolean> {
-        const giveUpAt = this.clock.now() + promotionTimeoutMs;
-        while (this.clock.now() < giveUpAt) {
+        const giveUpAt = this.context.clock.now() + promotionTimeoutMs;
+        while (this.context.clock.now() < giveUpAt) {
             const status = yield* candidate.pool.runControl(CommandKind.Status, controlTimeoutMs);
             if (status?.isPrimary === true) {
-                this.log.info({
+                this.context.log.info({
                     service: this.group.service,
                     upstream: candidate.pool.entry.id,
                     term: status.term,
-                    elapsedMs: Math.round(this.clock.now() - startedAt),
+                    elapsedMs: Math.round(this.context.clock.now() - startedAt),
                 }, "promotion.done");
+                this.notePhase("promoted", startedAt);
                 this.group.belief.confirm(candidate.pool.entry.id, status.term);
                 return true;
             }
-            yield* sleep(this.clock, promotionPollMs);
+            yield* sleep(this.context.clock, promotionPollMs);
         }
-        this.log.warn({ service: this.group.service, upstream: candidate.pool.entry.id, term }, "promotion.not-confirmed");
+        this.context.log.warn({ service: this.group.service, upstream: candidate.pool.entry.id, term }, "promotion.not-confirmed");
         return false;
     }
 }
--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -16,13 +16,23 @@
     return { name, help, type: "gauge", samples };
 }
 
+function createLatencyFamilies(metrics: EntryMetrics): readonly MetricFamily[] {
+    const statements = metrics.latencies.loaded;
+    const failovers = metrics.failovers.loaded;
+    return [
+        ...(statements === undefined ? [] : [createLatencyFamily("vanillarouter_statement_seconds", "Time from arrival to the whole answer.", statements)]),
+        ...(failovers === undefined
+            ? []
+            : [createLatencyFamily("vanillarouter_failover_seconds", "Time from the claim to each phase of a promotion.", failovers)]),
+    ];
+}
+
 /** Collects all metrics of a VM. */
 export function collectMetrics(metrics: EntryMetrics, cluster: ClusterState, pools: UpstreamPools): readonly MetricFamily[] {
     const label = (pool: { readonly entry: { readonly id: string; readonly service: string; }; }): string =>
         `service="${pool.entry.service}",upstream="${pool.entry.id}"`;
     return [
-        createLatencyFamily("vanillarouter_statement_seconds", "Time from arrival to the whole answer.", metrics.latencies),
-        createLatencyFamily("vanillarouter_failover_seconds", "Time from the claim to each phase of a promotion.", metrics.failovers),
+        ...createLatencyFamilies(metrics),
         ...createCounterFamilies(metrics.counters, counterHelp),
         createGauge("vanillarouter_configuration_version", "Version of the configuration in force.", [{
             labels: "",
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -81,7 +81,7 @@
                 return true;
             },
         };
-        return Promotion.create(this.group, clock, suspension, claims, promoter, log);
+        return Promotion.create(this.group, { clock, suspension, claims, promoter, metrics: this.context.metrics, log });
     }
 
     public createWatcher(): GroupWatcher {
