--- a/packages/control/src/controlMain.ts
+++ b/packages/control/src/controlMain.ts
@@ -13,6 +13,7 @@
 import { ControlCommands } from "./controlCommands";
 import { Diagnostics } from "./diagnostics";
 import { ExitCode } from "./exitCode";
+import { runTrace } from "./runTrace";
 
 const program = "vrctl";
 const version = "0.1.0";
@@ -114,6 +115,14 @@
 cli.command("members", "VMs as this VM knows them").action((options: unknown) => run(options, commands => commands.listMembers()));
 cli.command("status", "State of the VM").action((options: unknown) => run(options, commands => commands.readStatus()));
 cli.command("drain", "Shut the VM down gracefully").action((options: unknown) => run(options, commands => commands.drain()));
+cli.command("trace <id> [...files]", "Follow a request through the logs of VMs, or through standard input").action(
+    (id: string, files: readonly string[], options: unknown) => {
+        const { json } = readOptions(options);
+        const output = runTrace(id, files);
+        if (output.err) endWith(output.val, json === true);
+        process.stdout.write(json === true ? JSON.stringify(output.val.value) + "\n" : output.val.text);
+    },
+);
 cli.help();
 cli.version(version);
 
--- /dev/null
+++ b/packages/control/src/runTrace.ts
@@ -0,0 +1,39 @@
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { readFileSync } from "node:fs";
+import { Err, Ok, Result } from "ts-results";
+import { CommandFailure } from "./commandFailure";
+import { CommandOutput } from "./commandOutput";
+import { Diagnostics } from "./diagnostics";
+import { ExitCode } from "./exitCode";
+import { formatTrace } from "./formatTrace";
+import { LogLine } from "./logLine";
+import { parseLogLine } from "./parseLogLine";
+import { traceRequest } from "./traceRequest";
+
+const standardInput = 0;
+
+/** Follows one request through log files, or through standard input if there are none. */
+export function runTrace(id: string, files: readonly string[]): Result<CommandOutput, CommandFailure> {
+    const lines: LogLine[] = [];
+    for (const file of files.length === 0 ? [standardInput] : files) {
+        let text: string;
+        try {
+            text = readFileSync(file, "utf8");
+        }
+        catch (err) {
+            return Err({ failure: createFailure(Diagnostics.logUnreadable, RunOutcome.DidNotRun, String(file), String(err)), exitCode: ExitCode.Failure });
+        }
+        const source = file === standardInput || files.length === 1 ? "" : String(file);
+        for (const row of text.split("\n")) {
+            const line = parseLogLine(row, source);
+            if (line !== undefined) lines.push(line);
+        }
+    }
+    const traced = traceRequest(lines, id);
+    if (traced.length === 0) {
+        return Err({ failure: createFailure(Diagnostics.requestNotLogged, RunOutcome.DidNotRun, id, lines.length), exitCode: ExitCode.Failure });
+    }
+    const value = traced.map(({ line, isRequest }) => ({ isRequest, source: line.source, ...Object.fromEntries(line.fields) }));
+    return Ok({ value, text: formatTrace(traced) });
+}
--- /dev/null
+++ b/packages/session/src/cluster/describeGroup.ts
@@ -0,0 +1,16 @@
+import { ServiceGroup } from "./serviceGroup";
+
+/** Returns the log fields that say what this VM knows of a group: its primary, the upstreams in reach, the newest proven position. */
+export function describeGroup(group: ServiceGroup): Readonly<Record<string, unknown>> {
+    const pools = group.pools.list(group.service);
+    const ageMs = group.samples.newestAgeMs;
+    return {
+        service: group.service,
+        primary: group.belief.primary?.id,
+        term: group.belief.primary?.term,
+        reachable: `${pools.filter(pool => pool.isReachable).length}/${pools.length}`,
+        isolated: group.isIsolated,
+        suspected: group.belief.isSuspected,
+        positionAgeMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined,
+    };
+}
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -1,6 +1,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
+import { describeGroup } from "../cluster/describeGroup";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { Diagnostics } from "../diagnostics";
 import { CallerStatement } from "../model/callerStatement";
@@ -52,6 +53,13 @@
         const answer = yield* this.forward(statement, deadline);
         if (answer === undefined) {
             this.drop();
+            this.context.decisions.noteFailed("commit.unanswered", {
+                req: statement.id,
+                transaction: this.req.id,
+                wrote: this.hasWritten,
+                upstream: target.pool.entry.id,
+                ...describeGroup(this.group),
+            });
             if (target.primaryTerm !== undefined) this.group.belief.suspect("an answer of the primary was lost");
             return this.hasWritten
                 ? failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown)
@@ -63,6 +71,13 @@
         else target.pool.discard(connection);
         if (this.hasWritten) {
             if (answer.applied === undefined || !(yield* this.context.confirmer.confirm(this.group, target.primaryTerm!, answer.applied, deadline))) {
+                this.context.decisions.noteFailed("commit.unconfirmed", {
+                    req: statement.id,
+                    transaction: this.req.id,
+                    upstream: target.pool.entry.id,
+                    committedIn: answer.applied?.term,
+                    ...describeGroup(this.group),
+                });
                 return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
             }
             this.req.floors.raise(this.req.workClass.service, answer.applied);
@@ -137,7 +152,10 @@
         for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
             if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
             const target = yield* this.context.targets.find(this.group, this.req, avoided, giveUpAt);
-            if (target === undefined) break;
+            if (target === undefined) {
+                this.context.decisions.noteFailed("transaction.unplaced", { req: this.req.id, statement: statement.id, attempt, ...describeGroup(this.group) });
+                break;
+            }
             if (yield* this.beginAt(target, giveUpAt, deadline)) return undefined;
             avoided.add(target.pool.entry.id);
             this.context.decisions.noteFailed("transaction.not-begun", {
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -1,5 +1,6 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
+import { describeGroup } from "../cluster/describeGroup";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { Diagnostics } from "../diagnostics";
 import { CallerStatement } from "../model/callerStatement";
@@ -42,7 +43,15 @@
         for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
             if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
             const target = yield* this.context.targets.find(group, req, avoided, giveUpAt);
-            if (target === undefined) return this.explainMissingTarget(group, req);
+            if (target === undefined) {
+                this.context.decisions.noteFailed("statement.unplaced", {
+                    req: statement.id,
+                    attempt,
+                    waitedMs: Math.round(this.context.clock.now() - req.receivedAt),
+                    ...describeGroup(group),
+                });
+                return this.explainMissingTarget(group, req);
+            }
             const startedAt = this.context.clock.now();
             const outcome = yield* this.runOnce(group, req, statement, target, giveUpAt, deadline);
             this.noteAttempt(req, statement, target, outcome, attempt, startedAt);
@@ -185,6 +194,12 @@
         }
         if (!req.readOnly && target.primaryTerm !== undefined) {
             if (answer.applied === undefined || !(yield* this.context.confirmer.confirm(group, target.primaryTerm, answer.applied, deadline))) {
+                this.context.decisions.noteFailed("commit.unconfirmed", {
+                    req: req.id,
+                    upstream: target.pool.entry.id,
+                    committedIn: answer.applied?.term,
+                    ...describeGroup(group),
+                });
                 return failStatement(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
             }
             req.floors.raise(req.workClass.service, answer.applied);
