--- a/packages/session/src/cluster/clusterState.test.ts
+++ b/packages/session/src/cluster/clusterState.test.ts
@@ -38,3 +38,17 @@
     cluster.dropMissing();
     assert.equal(cluster.findUpstream("u1"), undefined);
 });
+
+// Guards against new work on an upstream that has said long ago that it leaves, also when no successor was promoted.
+test("an upstream that keeps leaving counts as gone after five seconds", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create("vm", clock);
+    cluster.putUpstream({ ...entry, isLeaving: true });
+    clock.advance(3_000);
+    cluster.putUpstream({ ...entry, isLeaving: true });
+    assert.equal(cluster.isGone("u1"), false);
+    clock.advance(2_100);
+    assert.equal(cluster.isGone("u1"), true);
+    cluster.putUpstream(entry);
+    assert.equal(cluster.isGone("u1"), false);
+});
--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -6,11 +6,16 @@
 
 /** Entries that lapsed during an outage of the store are written again within two seconds of its return. */
 const missingEntryGraceMs = 2_300;
+/** A leaving primary is used until its successor leads, but not longer than this; the platform's bound is 7 s. */
+const leavingGraceMs = 5_000;
 
 /** What this VM knows of the configuration, the upstreams and the other VMs. */
 export class ClusterState {
     /** Wakes tasks that depend on the list of upstreams. */
     public readonly upstreamsChanged = Signal.create<void>();
+    /** Wakes tasks that wait for a configuration. */
+    public readonly configurationChanged = Signal.create<void>();
+    private readonly leavingSince = new Map<string, number>();
     private current: RoutingConfiguration | undefined;
     private appliedAt = 0;
     private readonly entries = new Map<string, UpstreamEntry>();
@@ -51,6 +56,7 @@
         if (this.current !== undefined && configuration.version <= this.current.version) return false;
         this.current = configuration;
         this.appliedAt = this.clock.now();
+        this.configurationChanged.notifyAll();
         return true;
     }
 
@@ -68,12 +74,24 @@
 
     public putUpstream(entry: UpstreamEntry): void {
         this.missingSince.delete(entry.id);
+        this.noteLeaving(entry);
         const known = this.entries.get(entry.id);
         if (known !== undefined && JSON.stringify(known) === JSON.stringify(entry)) return;
         this.entries.set(entry.id, entry);
         this.upstreamsChanged.notifyAll();
     }
 
+    /** Whether an upstream has been leaving for so long that nothing new may be sent to it. */
+    public isGone(id: string): boolean {
+        const since = this.leavingSince.get(id);
+        return since !== undefined && this.clock.now() - since > leavingGraceMs;
+    }
+
+    private noteLeaving(entry: UpstreamEntry): void {
+        if (!entry.isLeaving) this.leavingSince.delete(entry.id);
+        else if (!this.leavingSince.has(entry.id)) this.leavingSince.set(entry.id, this.clock.now());
+    }
+
     /** Notes that an entry is missing. It stays in use until `dropMissing` finds that it did not return. */
     public removeUpstream(id: string): void {
         if (this.entries.has(id) && !this.missingSince.has(id)) this.missingSince.set(id, this.clock.now());
@@ -85,6 +103,7 @@
             if (this.clock.now() - since < missingEntryGraceMs) continue;
             this.missingSince.delete(id);
             this.entries.delete(id);
+            this.leavingSince.delete(id);
             this.upstreamsChanged.notifyAll();
         }
     }
--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -48,7 +48,7 @@
     public findPrimary(): { readonly pool: UpstreamPool; readonly term: number; } | undefined {
         const primary = this.belief.primary;
         const pool = primary === undefined ? undefined : this.pools.find(primary.id);
-        return pool === undefined ? undefined : { pool, term: primary!.term };
+        return pool === undefined || this.pools.isGone(pool.entry.id) ? undefined : { pool, term: primary!.term };
     }
 
     /**
--- a/packages/session/src/diagnostics.ts
+++ b/packages/session/src/diagnostics.ts
@@ -13,5 +13,6 @@
     noSuchStatement: createDiagnostic(1807, "no prepared statement has this name", "Prepare it on this connection."),
     shuttingDown: createDiagnostic(1808, "the VM is shutting down", "Reconnect; the statement did not run."),
     transactionFailed: createDiagnostic(1809, "the transaction has failed; end it", "Send ROLLBACK."),
+    notConfigured: createDiagnostic(1811, "the VM has no configuration yet", "Reconnect; another VM may have one."),
     upstreamFailed: createDiagnostic(1810, "the upstream answered: {0}", "See the log of the upstream."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -1,6 +1,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
 import { sleep } from "@vanillarouter/base/sleep";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Diagnostics } from "../diagnostics";
 import { CallerChannel } from "../model/callerChannel";
 import { CallerStatement } from "../model/callerStatement";
@@ -16,6 +17,8 @@
 import { SessionValues } from "./sessionValues";
 import { StatementOutcome } from "./statementOutcome";
 
+/** Callers wait two seconds for the answer to their login. */
+const loginWaitMs = 1_500;
 const operationEnds: ReadonlySet<StatementKind> = new Set([
     StatementKind.Read,
     StatementKind.Write,
@@ -40,6 +43,10 @@
 
     /** Runs until the caller leaves or the VM shuts down. */
     public *run(): Operation<void> {
+        if (!(yield* this.awaitConfiguration())) {
+            this.channel.refuse(ErrorKind.Busy, failStatement(ErrorKind.Busy, Diagnostics.notConfigured).text);
+            return;
+        }
         if (this.findClass() === undefined) {
             this.channel.refuse(ErrorKind.NoDatabase, failStatement(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase).text);
             return;
@@ -59,6 +66,13 @@
         }
     }
 
+    /** A VM that has just started knows no database yet, which is no reason to deny one. */
+    private *awaitConfiguration(): Operation<boolean> {
+        const { cluster, clock } = this.context;
+        if (cluster.configuration === undefined) yield* withTimeout(clock, loginWaitMs, cluster.configurationChanged.wait());
+        return cluster.configuration !== undefined;
+    }
+
     /** A caller that has set values or prepared statements is about to use them. */
     private get isBetweenOperations(): boolean {
         return this.state === TransactionState.Idle && this.lastEndedOperation;
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -11,6 +11,7 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamAnswer } from "../model/upstreamAnswer";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
+import { AttemptLimits } from "./attemptLimits";
 import { describeTarget } from "./describeTarget";
 import { EntryContext } from "./entryContext";
 import { failStatement } from "./failStatement";
@@ -18,10 +19,6 @@
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
 
-const mostAttempts = 5;
-const retryPauseMs = 8;
-const waitShare = 0.7;
-
 /** One transaction of a caller. It begins at an upstream with its first statement and holds that connection to its end. */
 export class OpenTransaction {
     private held: { readonly target: Target; readonly connection: UpstreamConnection; } | undefined;
@@ -147,10 +144,10 @@
     /** Begins at an upstream unless the transaction has begun. Returns an outcome if that failed. */
     private *begin(statement: CallerStatement, deadline: number): Operation<StatementOutcome | undefined> {
         if (this.held !== undefined) return undefined;
-        const giveUpAt = this.context.clock.now() + this.req.workClass.statementTimeoutMs * waitShare;
+        const giveUpAt = this.context.clock.now() + this.req.workClass.statementTimeoutMs * AttemptLimits.waitShare;
         const avoided = new Set<string>();
-        for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
-            if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
+        for (let attempt = 0; attempt < AttemptLimits.mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
+            if (attempt > 0) yield* sleep(this.context.clock, AttemptLimits.retryPauseMs * attempt);
             const target = yield* this.context.targets.find(this.group, this.req, avoided, giveUpAt);
             if (target === undefined) {
                 this.context.decisions.noteFailed("transaction.unplaced", { req: this.req.id, statement: statement.id, attempt, ...describeGroup(this.group) });
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -11,6 +11,7 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamAnswer } from "../model/upstreamAnswer";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
+import { AttemptLimits } from "./attemptLimits";
 import { describeTarget } from "./describeTarget";
 import { EntryContext } from "./entryContext";
 import { failStatement } from "./failStatement";
@@ -18,10 +19,6 @@
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
 
-const mostAttempts = 5;
-const retryPauseMs = 8;
-/** Share of the statement timeout that an operation may wait for a place to run; the rest is for the run itself. */
-const waitShare = 0.7;
 /** A read tries another upstream after this share of its target, and not before `leastReadAttemptMs`. */
 const readAttemptShare = 0.75;
 const leastReadAttemptMs = 300;
@@ -37,11 +34,11 @@
 
     public *run(group: ServiceGroup, req: ServedRequest, statement: CallerStatement): Operation<StatementOutcome> {
         const deadline = req.receivedAt + req.workClass.statementTimeoutMs;
-        const giveUpAt = req.receivedAt + req.workClass.statementTimeoutMs * waitShare;
+        const giveUpAt = req.receivedAt + req.workClass.statementTimeoutMs * AttemptLimits.waitShare;
         const avoided = new Set<string>();
         let last = failStatement(ErrorKind.Busy, Diagnostics.overloaded, req.workClass.targetMs);
-        for (let attempt = 0; attempt < mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
-            if (attempt > 0) yield* sleep(this.context.clock, retryPauseMs * attempt);
+        for (let attempt = 0; attempt < AttemptLimits.mostAttempts && this.context.clock.now() < giveUpAt; attempt++) {
+            if (attempt > 0) yield* sleep(this.context.clock, AttemptLimits.retryPauseMs * attempt);
             const target = yield* this.context.targets.find(group, req, avoided, giveUpAt);
             if (target === undefined) {
                 this.context.decisions.noteFailed("statement.unplaced", {
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -89,6 +89,7 @@
         let best: UpstreamPool | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const pool of group.pools.list(group.service)) {
+            if (group.pools.isGone(pool.entry.id)) continue;
             const cost = this.rateReader(group, pool, floor, avoided);
             if (cost >= bestCost) continue;
             best = pool;
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -37,6 +37,12 @@
 
     /** Runs one attempt. `reports` is the latest examination of the group; `primary` the old primary's part of it. */
     public *run(reports: readonly GroupReport[], primaryId: string | undefined, reason: string): Operation<boolean> {
+        const isDone = yield* this.attempt(reports, primaryId, reason);
+        this.context.metrics.counters.add("vanillarouter_promotions_total", `service="${this.group.service}",outcome="${isDone ? "settled" : "failed"}"`);
+        return isDone;
+    }
+
+    private *attempt(reports: readonly GroupReport[], primaryId: string | undefined, reason: string): Operation<boolean> {
         const service = this.group.service;
         const startedAt = this.context.clock.now();
         const generation = this.context.suspension.check();
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -34,6 +34,11 @@
         return entry === undefined ? undefined : this.obtain(entry);
     }
 
+    /** Whether an upstream has been leaving for so long that nothing new may be sent to it. */
+    public isGone(id: string): boolean {
+        return this.cluster.isGone(id);
+    }
+
     public get all(): readonly UpstreamPool[] {
         return [...this.pools.values()];
     }
