--- a/packages/bench/src/measure/fakeUpstream.ts
+++ b/packages/bench/src/measure/fakeUpstream.ts
@@ -1,7 +1,7 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 import { FakeNetwork } from "./fakeNetwork";
 import { LogEntry } from "./logEntry";
 
--- a/packages/bench/src/measure/loadGenerator.ts
+++ b/packages/bench/src/measure/loadGenerator.ts
@@ -1,6 +1,6 @@
 import { RandomSource } from "@vanillarouter/base/randomSource";
 import { Task } from "@vanillarouter/base/task";
-import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { StatementRequest } from "@vanillarouter/routing/entry/statementRequest";
 import { ClassLoad } from "./classLoad";
 import { FakeFleet } from "./fakeFleet";
 import { MeasuredSystem } from "./measuredSystem";
--- a/packages/bench/src/measure/measuredSystem.ts
+++ b/packages/bench/src/measure/measuredSystem.ts
@@ -1,7 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
-import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
-import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { StatementAnswer } from "@vanillarouter/routing/entry/statementAnswer";
+import { StatementRequest } from "@vanillarouter/routing/entry/statementRequest";
 import { Result } from "ts-results";
 
 /** What carries the statements of a run: the product's own classes or the naive router. */
--- a/packages/bench/src/measure/naiveFailover.ts
+++ b/packages/bench/src/measure/naiveFailover.ts
@@ -1,7 +1,7 @@
 import { GroupView } from "@vanillarouter/base/groupView";
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
 import { FakeFleet } from "./fakeFleet";
 
 const checkIntervalMs = 1000;
--- a/packages/bench/src/measure/naivePool.ts
+++ b/packages/bench/src/measure/naivePool.ts
@@ -7,8 +7,8 @@
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Diagnostics } from "@vanillarouter/routing/diagnostics";
-import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
-import { UpstreamPeer } from "@vanillarouter/routing/upstreamPeer";
+import { UpstreamConnection } from "@vanillarouter/routing/group/upstreamConnection";
+import { UpstreamPeer } from "@vanillarouter/routing/group/upstreamPeer";
 import { Err, Result } from "ts-results";
 
 /** A fixed number of connections to one upstream, used first come, first served. */
--- a/packages/bench/src/measure/requestLedger.ts
+++ b/packages/bench/src/measure/requestLedger.ts
@@ -1,7 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
-import { StatementAnswer } from "@vanillarouter/routing/statementAnswer";
-import { StatementRequest } from "@vanillarouter/routing/statementRequest";
+import { StatementAnswer } from "@vanillarouter/routing/entry/statementAnswer";
+import { StatementRequest } from "@vanillarouter/routing/entry/statementRequest";
 import { Result } from "ts-results";
 import { ClassLoad } from "./classLoad";
 import { FakeFleet } from "./fakeFleet";
--- a/packages/bench/src/upstreamPeer.e2e.test.ts
+++ b/packages/bench/src/upstreamPeer.e2e.test.ts
@@ -6,7 +6,7 @@
 import { Task } from "@vanillarouter/base/task";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
-import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
+import { UpstreamConnection } from "@vanillarouter/routing/group/upstreamConnection";
 import { Diagnostics } from "@vanillarouter/upstream/diagnostics";
 import { MysqlUpstreamPeer } from "@vanillarouter/upstream/mysqlUpstreamPeer";
 import * as assert from "node:assert/strict";
--- a/packages/caller/src/sessionFactory.ts
+++ b/packages/caller/src/sessionFactory.ts
@@ -1,4 +1,4 @@
-import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { CallerSession } from "@vanillarouter/routing/entry/callerSession";
 
 /** The entry role as the listener uses it. */
 export interface SessionFactory {
--- a/packages/caller/src/sessionSwitch.ts
+++ b/packages/caller/src/sessionSwitch.ts
@@ -1,5 +1,5 @@
 import { Failure } from "@vanillarouter/base/failure";
-import { CallerSession } from "@vanillarouter/routing/callerSession";
+import { CallerSession } from "@vanillarouter/routing/entry/callerSession";
 import { Ok, Result } from "ts-results";
 
 const tokenSeparator = ",";
--- a/packages/daemon/src/daemonView.ts
+++ b/packages/daemon/src/daemonView.ts
@@ -9,9 +9,9 @@
 import { findSection } from "@vanillarouter/platform/findSection";
 import { PlatformClient } from "@vanillarouter/platform/platformClient";
 import { shardNames } from "@vanillarouter/platform/shardNames";
-import { EntryMetrics } from "@vanillarouter/routing/entryMetrics";
-import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
-import { OwnerHost } from "@vanillarouter/routing/ownerHost";
+import { EntryMetrics } from "@vanillarouter/routing/entry/entryMetrics";
+import { GroupDirectory } from "@vanillarouter/routing/group/groupDirectory";
+import { OwnerHost } from "@vanillarouter/routing/owner/ownerHost";
 import { MemberState } from "@vanillarouter/vm/memberState";
 import { RunningNode } from "@vanillarouter/vm/runningNode";
 import { CoordinatorHost } from "./coordinatorHost";
--- a/packages/daemon/src/observedGroupPeer.ts
+++ b/packages/daemon/src/observedGroupPeer.ts
@@ -2,10 +2,10 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { Signal } from "@vanillarouter/base/signal";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
-import { RecordedOutcome } from "@vanillarouter/routing/recordedOutcome";
-import { TermAnswer } from "@vanillarouter/routing/termAnswer";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
+import { TermAnswer } from "@vanillarouter/routing/group/termAnswer";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
+import { RecordedOutcome } from "@vanillarouter/routing/outcomes/recordedOutcome";
 import { Err, Result } from "ts-results";
 
 interface PeerObserver {
--- a/packages/daemon/src/observedUpstreamPeer.ts
+++ b/packages/daemon/src/observedUpstreamPeer.ts
@@ -1,9 +1,9 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
-import { UpstreamConnection } from "@vanillarouter/routing/upstreamConnection";
-import { UpstreamPeer } from "@vanillarouter/routing/upstreamPeer";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
+import { UpstreamConnection } from "@vanillarouter/routing/group/upstreamConnection";
+import { UpstreamPeer } from "@vanillarouter/routing/group/upstreamPeer";
 import { VmNode } from "@vanillarouter/vm/vmNode";
 import { Result } from "ts-results";
 import { ObservedGroupPeer } from "./observedGroupPeer";
--- a/packages/routing/src/callerRetry.test.ts
+++ b/packages/routing/src/entry/callerRetry.test.ts
@@ -3,10 +3,10 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { EntryTestBed } from "../testing/entryTestBed";
+import { FakeFault } from "../testing/fakeFault";
 import { StatementAnswer } from "./statementAnswer";
-import { EntryTestBed } from "./testing/entryTestBed";
-import { FakeFault } from "./testing/fakeFault";
 
 const aWrite = "INSERT INTO orders VALUES (1)";
 
--- a/packages/routing/src/callerTransaction.ts
+++ b/packages/routing/src/entry/callerTransaction.ts
@@ -5,15 +5,15 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { Err, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { KnownPrimary } from "../group/knownPrimary";
+import { PrimaryCaller } from "../group/primaryCaller";
+import { OwnerAnswer } from "../owner/ownerAnswer";
+import { watchOperation } from "../owner/watchOperation";
 import { AdmittedRequest } from "./admittedRequest";
 import { commitsImplicitly } from "./commitsImplicitly";
-import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
 import { EntryWrites } from "./entryWrites";
-import { KnownPrimary } from "./knownPrimary";
-import { OwnerAnswer } from "./ownerAnswer";
-import { PrimaryCaller } from "./primaryCaller";
-import { watchOperation } from "./watchOperation";
 
 /** Time that an owner keeps a transaction open, in milliseconds. */
 const lifetimeMs = 10_000;
--- a/packages/routing/src/entryContext.ts
+++ b/packages/routing/src/entry/entryContext.ts
@@ -1,8 +1,8 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
+import { ReadRouter } from "../freshness/readRouter";
+import { PrimaryFinder } from "../group/primaryFinder";
 import { EntryMetrics } from "./entryMetrics";
-import { PrimaryFinder } from "./primaryFinder";
-import { ReadRouter } from "./readRouter";
 import { RetryBudgets } from "./retryBudgets";
 import { SessionTokenCodec } from "./sessionTokenCodec";
 
--- a/packages/routing/src/entryReads.ts
+++ b/packages/routing/src/entry/entryReads.ts
@@ -7,16 +7,16 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Ok, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { ReadChoice } from "../freshness/readChoice";
+import { PrimaryCaller } from "../group/primaryCaller";
+import { OwnerAnswer } from "../owner/ownerAnswer";
+import { watchOperation } from "../owner/watchOperation";
+import { measureReturnMargin } from "../scheduling/measureReturnMargin";
 import { AdmittedRequest } from "./admittedRequest";
-import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
-import { measureReturnMargin } from "./measureReturnMargin";
-import { OwnerAnswer } from "./ownerAnswer";
-import { PrimaryCaller } from "./primaryCaller";
-import { ReadChoice } from "./readChoice";
 import { SessionFloors } from "./sessionFloors";
 import { StatementKind } from "./statementKind";
-import { watchOperation } from "./watchOperation";
 
 /** A read whose answer takes this many times as long as expected, from a silent upstream, is sent to another one. */
 const patienceFactor = 4;
--- a/packages/routing/src/entryService.test.ts
+++ b/packages/routing/src/entry/entryService.test.ts
@@ -7,11 +7,11 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { EntryTestBed } from "../testing/entryTestBed";
+import { FakeFault } from "../testing/fakeFault";
 import { StatementKind } from "./statementKind";
 import { StatementRequest } from "./statementRequest";
-import { EntryTestBed } from "./testing/entryTestBed";
-import { FakeFault } from "./testing/fakeFault";
 
 const runs = { numRuns: 150, seed: 20261204 };
 const upstreams = ["u1", "u2", "u3"];
--- a/packages/routing/src/entryService.ts
+++ b/packages/routing/src/entry/entryService.ts
@@ -1,17 +1,17 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { ConfigurationSource } from "@vanillarouter/base/configurationSource";
 import { RandomSource } from "@vanillarouter/base/randomSource";
+import { ReadRouter } from "../freshness/readRouter";
+import { GroupDirectory } from "../group/groupDirectory";
+import { PrimaryCaller } from "../group/primaryCaller";
+import { PrimaryFinder } from "../group/primaryFinder";
+import { OwnerDirectory } from "../owner/ownerDirectory";
 import { CallerSession } from "./callerSession";
 import { EntryContext } from "./entryContext";
 import { EntryMetrics } from "./entryMetrics";
 import { EntryReads } from "./entryReads";
 import { EntrySession } from "./entrySession";
 import { EntryWrites } from "./entryWrites";
-import { GroupDirectory } from "./groupDirectory";
-import { OwnerDirectory } from "./ownerDirectory";
-import { PrimaryCaller } from "./primaryCaller";
-import { PrimaryFinder } from "./primaryFinder";
-import { ReadRouter } from "./readRouter";
 import { RetryBudgets } from "./retryBudgets";
 import { SessionTokenCodec } from "./sessionTokenCodec";
 
--- a/packages/routing/src/entryWrites.ts
+++ b/packages/routing/src/entry/entryWrites.ts
@@ -4,12 +4,12 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { KnownPrimary } from "../group/knownPrimary";
+import { PrimaryCaller } from "../group/primaryCaller";
+import { OwnerAnswer } from "../owner/ownerAnswer";
 import { AdmittedRequest } from "./admittedRequest";
-import { Diagnostics } from "./diagnostics";
 import { EntryContext } from "./entryContext";
-import { KnownPrimary } from "./knownPrimary";
-import { OwnerAnswer } from "./ownerAnswer";
-import { PrimaryCaller } from "./primaryCaller";
 import { StatementKind } from "./statementKind";
 
 /** Share of a request's time, and its bounds in milliseconds, that is kept back for asking after a lost answer. */
--- a/packages/routing/src/refusalCache.ts
+++ b/packages/routing/src/entry/refusalCache.ts
@@ -2,8 +2,8 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err } from "ts-results";
-import { Diagnostics } from "./diagnostics";
-import { SlotTicket } from "./slotTicket";
+import { Diagnostics } from "../diagnostics";
+import { SlotTicket } from "../scheduling/slotTicket";
 
 /** Refusals kept for reuse. */
 const maxRefusals = 1_000;
--- a/packages/routing/src/freshnessProver.ts
+++ b/packages/routing/src/freshness/freshnessProver.ts
@@ -6,9 +6,9 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { GroupDirectory } from "../group/groupDirectory";
+import { OwnerDirectory } from "../owner/ownerDirectory";
 import { FreshnessProof } from "./freshnessProof";
-import { GroupDirectory } from "./groupDirectory";
-import { OwnerDirectory } from "./ownerDirectory";
 import { SharedRound } from "./sharedRound";
 
 /** Proofs obtained in the time that the smallest age of a class spans. */
--- a/packages/routing/src/ownerFreshness.test.ts
+++ b/packages/routing/src/freshness/ownerFreshness.test.ts
@@ -6,12 +6,12 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { StatementKind } from "../entry/statementKind";
+import { OwnerRequest } from "../owner/ownerRequest";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
+import { NaiveOwner } from "../testing/naiveOwner";
 import { ConfirmedPosition } from "./confirmedPosition";
-import { Diagnostics } from "./diagnostics";
-import { FakeOwnerBed } from "./fakeOwnerBed";
-import { NaiveOwner } from "./naiveOwner";
-import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
 
 interface Step {
     readonly waitMs: number;
--- a/packages/routing/src/positionConfirmation.ts
+++ b/packages/routing/src/freshness/positionConfirmation.ts
@@ -8,13 +8,13 @@
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { GroupPeer } from "../group/groupPeer";
+import { UpstreamPeer } from "../group/upstreamPeer";
+import { UpstreamStatus } from "../group/upstreamStatus";
 import { ConfirmationWait } from "./confirmationWait";
 import { ConfirmedPosition } from "./confirmedPosition";
-import { Diagnostics } from "./diagnostics";
-import { GroupPeer } from "./groupPeer";
 import { SharedRound } from "./sharedRound";
-import { UpstreamPeer } from "./upstreamPeer";
-import { UpstreamStatus } from "./upstreamStatus";
 
 /** Time that one question of a round may take, in milliseconds. */
 const questionTimeoutMs = 500;
--- a/packages/routing/src/readChoice.ts
+++ b/packages/routing/src/freshness/readChoice.ts
@@ -1,4 +1,4 @@
-import { OwnerLink } from "./ownerLink";
+import { OwnerLink } from "../owner/ownerLink";
 
 /** Where a read goes. */
 export interface ReadChoice {
--- a/packages/routing/src/readRouter.ts
+++ b/packages/routing/src/freshness/readRouter.ts
@@ -3,13 +3,13 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { RandomSource } from "@vanillarouter/base/randomSource";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
-import { AdmittedRequest } from "./admittedRequest";
-import { GroupDirectory } from "./groupDirectory";
-import { GroupProgress } from "./groupProgress";
-import { OwnerDirectory } from "./ownerDirectory";
-import { OwnerLoad } from "./ownerLoad";
+import { AdmittedRequest } from "../entry/admittedRequest";
+import { GroupDirectory } from "../group/groupDirectory";
+import { GroupProgress } from "../group/groupProgress";
+import { OwnerDirectory } from "../owner/ownerDirectory";
+import { OwnerLoad } from "../owner/ownerLoad";
+import { UpstreamKnowledge } from "../owner/upstreamKnowledge";
 import { ReadChoice } from "./readChoice";
-import { UpstreamKnowledge } from "./upstreamKnowledge";
 
 /** Time of a slot of the primary is worth more than that of a replica, because only the primary can write. */
 const primaryPremiumMs = 10;
--- a/packages/routing/src/replicaConfirmation.ts
+++ b/packages/routing/src/freshness/replicaConfirmation.ts
@@ -4,9 +4,9 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
+import { GroupPeer } from "../group/groupPeer";
+import { UpstreamStatus } from "../group/upstreamStatus";
 import { ConfirmationWait } from "./confirmationWait";
-import { GroupPeer } from "./groupPeer";
-import { UpstreamStatus } from "./upstreamStatus";
 
 /** Time that one question to a replica may take, in milliseconds. A question that gets no answer holds up later ones. */
 const questionTimeoutMs = 250;
--- a/packages/routing/src/writeConfirmation.ts
+++ b/packages/routing/src/freshness/writeConfirmation.ts
@@ -4,9 +4,9 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { UpstreamPeer } from "../group/upstreamPeer";
 import { ConfirmationWait } from "./confirmationWait";
 import { ReplicaConfirmation } from "./replicaConfirmation";
-import { UpstreamPeer } from "./upstreamPeer";
 
 /**
  * Waits until a majority of the group, the primary included, holds an entry under the primary's term. An entry of an
--- a/packages/routing/src/groupPeer.ts
+++ b/packages/routing/src/group/groupPeer.ts
@@ -3,7 +3,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Signal } from "@vanillarouter/base/signal";
 import { Result } from "ts-results";
-import { RecordedOutcome } from "./recordedOutcome";
+import { RecordedOutcome } from "../outcomes/recordedOutcome";
 import { TermAnswer } from "./termAnswer";
 import { UpstreamStatus } from "./upstreamStatus";
 
--- a/packages/routing/src/knownPrimary.ts
+++ b/packages/routing/src/group/knownPrimary.ts
@@ -1,4 +1,4 @@
-import { OwnerLink } from "./ownerLink";
+import { OwnerLink } from "../owner/ownerLink";
 
 /** A group's primary as an entry VM knows it. */
 export interface KnownPrimary {
--- a/packages/routing/src/primaryCaller.ts
+++ b/packages/routing/src/group/primaryCaller.ts
@@ -4,12 +4,12 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Result } from "ts-results";
-import { AdmittedRequest } from "./admittedRequest";
-import { Diagnostics } from "./diagnostics";
-import { EntryContext } from "./entryContext";
+import { Diagnostics } from "../diagnostics";
+import { AdmittedRequest } from "../entry/admittedRequest";
+import { EntryContext } from "../entry/entryContext";
+import { watchOperation } from "../owner/watchOperation";
+import { measureReturnMargin } from "../scheduling/measureReturnMargin";
 import { KnownPrimary } from "./knownPrimary";
-import { measureReturnMargin } from "./measureReturnMargin";
-import { watchOperation } from "./watchOperation";
 
 /** Interval at which a request in flight checks that its primary and owner are still the known ones, in milliseconds. */
 const moveCheckMs = 25;
--- a/packages/routing/src/primaryFinder.ts
+++ b/packages/routing/src/group/primaryFinder.ts
@@ -2,10 +2,10 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
-import { findViewInFailure } from "./findViewInFailure";
+import { findViewInFailure } from "../entry/findViewInFailure";
+import { OwnerDirectory } from "../owner/ownerDirectory";
 import { GroupDirectory } from "./groupDirectory";
 import { KnownPrimary } from "./knownPrimary";
-import { OwnerDirectory } from "./ownerDirectory";
 
 /** Interval at which a waiting request looks for a new owner, in milliseconds; owners change without a notification. */
 const ownerPollMs = 25;
--- a/packages/routing/src/outcomeResolver.ts
+++ b/packages/routing/src/outcomes/outcomeResolver.ts
@@ -6,10 +6,10 @@
 import { sleep } from "@vanillarouter/base/sleep";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { Err, Ok, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
-import { OwnerContext } from "./ownerContext";
+import { Diagnostics } from "../diagnostics";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { OwnerContext } from "../owner/ownerContext";
 import { RecordedOutcome } from "./recordedOutcome";
-import { UpstreamAnswer } from "./upstreamAnswer";
 
 /** Delay between attempts to reach the group, in milliseconds. */
 const retryDelayMs = 20;
--- a/packages/routing/src/outcomes.test.ts
+++ b/packages/routing/src/outcomes/outcomes.test.ts
@@ -7,10 +7,10 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { FakeOwnerBed } from "./fakeOwnerBed";
-import { NaiveOwner } from "./naiveOwner";
-import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
+import { StatementKind } from "../entry/statementKind";
+import { OwnerRequest } from "../owner/ownerRequest";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
+import { NaiveOwner } from "../testing/naiveOwner";
 
 type Fault = "loseReply" | "silence" | "isolatePrimary" | "stopReplica" | "slow" | "heal";
 
--- a/packages/routing/src/connectionPool.ts
+++ b/packages/routing/src/owner/connectionPool.ts
@@ -8,10 +8,10 @@
 import { sleep } from "@vanillarouter/base/sleep";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { Err, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { UpstreamConnection } from "../group/upstreamConnection";
+import { UpstreamPeer } from "../group/upstreamPeer";
 import { PooledConnection } from "./pooledConnection";
-import { UpstreamConnection } from "./upstreamConnection";
-import { UpstreamPeer } from "./upstreamPeer";
 
 /** Connections of an upstream left to the control side: status, acknowledgement and coordination from several VMs. */
 const controlConnections = 8;
--- a/packages/routing/src/connections.test.ts
+++ b/packages/routing/src/owner/connections.test.ts
@@ -4,10 +4,10 @@
 import * as fc from "fast-check";
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
-import { FakeOwnerBed } from "./fakeOwnerBed";
-import { NaiveOwner } from "./naiveOwner";
+import { StatementKind } from "../entry/statementKind";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
+import { NaiveOwner } from "../testing/naiveOwner";
 import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
 
 interface Step {
     readonly waitMs: number;
--- a/packages/routing/src/ownerContext.ts
+++ b/packages/routing/src/owner/ownerContext.ts
@@ -1,12 +1,12 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
-import { GroupDirectory } from "./groupDirectory";
-import { GroupPeer } from "./groupPeer";
-import { SlotScheduler } from "./slotScheduler";
+import { WriteConfirmation } from "../freshness/writeConfirmation";
+import { GroupDirectory } from "../group/groupDirectory";
+import { GroupPeer } from "../group/groupPeer";
+import { SlotScheduler } from "../scheduling/slotScheduler";
 import { StatementRunner } from "./statementRunner";
 import { UpstreamWatch } from "./upstreamWatch";
-import { WriteConfirmation } from "./writeConfirmation";
 
 /** The parts of an owner that its executors share. */
 export interface OwnerContext {
--- a/packages/routing/src/ownerHost.test.ts
+++ b/packages/routing/src/owner/ownerHost.test.ts
@@ -6,12 +6,12 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
-import { FakeOwnerBed } from "./fakeOwnerBed";
-import { NaiveOwner } from "./naiveOwner";
+import { Diagnostics } from "../diagnostics";
+import { StatementKind } from "../entry/statementKind";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
+import { NaiveOwner } from "../testing/naiveOwner";
 import { OwnerHost } from "./ownerHost";
 import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
 
 function createRequest(requestId: string, upstream: string, kind: StatementKind.Read | StatementKind.Write): OwnerRequest {
     const common = { group: "stock", className: "orders", rank: Rank.Urgent, franchisee: "f1", sql: requestId, timeoutMs: 500, repeatable: true };
--- a/packages/routing/src/ownerHost.ts
+++ b/packages/routing/src/owner/ownerHost.ts
@@ -6,17 +6,17 @@
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
 import { Err, Result } from "ts-results";
-import { ConfirmedPosition } from "./confirmedPosition";
-import { Diagnostics } from "./diagnostics";
-import { OutcomeRequest } from "./outcomeRequest";
+import { Diagnostics } from "../diagnostics";
+import { OutcomeRequest } from "../entry/outcomeRequest";
+import { TransactionEnd } from "../entry/transactionEnd";
+import { TransactionStatement } from "../entry/transactionStatement";
+import { ConfirmedPosition } from "../freshness/confirmedPosition";
+import { SharedRates } from "../scheduling/sharedRates";
 import { OwnerAnswer } from "./ownerAnswer";
 import { OwnerHostSettings } from "./ownerHostSettings";
 import { OwnerLink } from "./ownerLink";
 import { OwnerRequest } from "./ownerRequest";
-import { SharedRates } from "./sharedRates";
-import { TransactionEnd } from "./transactionEnd";
 import { TransactionRequest } from "./transactionRequest";
-import { TransactionStatement } from "./transactionStatement";
 import { UpstreamOwner } from "./upstreamOwner";
 
 /** The upstreams that one VM owns. Starts and drains owners as roles move, and refuses work for other upstreams. */
--- a/packages/routing/src/ownerLink.ts
+++ b/packages/routing/src/owner/ownerLink.ts
@@ -2,13 +2,13 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { Result } from "ts-results";
-import { ConfirmedPosition } from "./confirmedPosition";
-import { OutcomeRequest } from "./outcomeRequest";
+import { OutcomeRequest } from "../entry/outcomeRequest";
+import { TransactionEnd } from "../entry/transactionEnd";
+import { TransactionStatement } from "../entry/transactionStatement";
+import { ConfirmedPosition } from "../freshness/confirmedPosition";
 import { OwnerAnswer } from "./ownerAnswer";
 import { OwnerRequest } from "./ownerRequest";
-import { TransactionEnd } from "./transactionEnd";
 import { TransactionRequest } from "./transactionRequest";
-import { TransactionStatement } from "./transactionStatement";
 
 /**
  * The owner role as entry VMs use it, on the same VM or over a link. Each operation ends within the request's time;
--- a/packages/routing/src/ownerRequest.ts
+++ b/packages/routing/src/owner/ownerRequest.ts
@@ -1,6 +1,6 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Rank } from "@vanillarouter/base/rank";
-import { StatementKind } from "./statementKind";
+import { StatementKind } from "../entry/statementKind";
 
 /** A single statement on its way from an entry VM to the owner of an upstream. */
 export interface OwnerRequest {
--- a/packages/routing/src/pooledConnection.ts
+++ b/packages/routing/src/owner/pooledConnection.ts
@@ -1,4 +1,4 @@
-import { UpstreamConnection } from "./upstreamConnection";
+import { UpstreamConnection } from "../group/upstreamConnection";
 
 /** A connection of a pool. */
 export interface PooledConnection {
--- a/packages/routing/src/readExecutor.ts
+++ b/packages/routing/src/owner/readExecutor.ts
@@ -6,13 +6,13 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Ok, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
-import { FreshnessProof } from "./freshnessProof";
-import { FreshnessProver } from "./freshnessProver";
+import { Diagnostics } from "../diagnostics";
+import { FreshnessProof } from "../freshness/freshnessProof";
+import { FreshnessProver } from "../freshness/freshnessProver";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { SlotRequest } from "../scheduling/slotRequest";
 import { OwnerContext } from "./ownerContext";
 import { OwnerRequest } from "./ownerRequest";
-import { SlotRequest } from "./slotRequest";
-import { UpstreamAnswer } from "./upstreamAnswer";
 
 /** Part of a read's time that it may wait for this upstream; the rest is left for the primary. */
 const waitFraction = 1 / 3;
--- a/packages/routing/src/statementRunner.ts
+++ b/packages/routing/src/owner/statementRunner.ts
@@ -8,11 +8,11 @@
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { UpstreamConnection } from "../group/upstreamConnection";
+import { UpstreamPeer } from "../group/upstreamPeer";
 import { ConnectionPool } from "./connectionPool";
-import { Diagnostics } from "./diagnostics";
 import { ProgressTimeout } from "./progressTimeout";
-import { UpstreamConnection } from "./upstreamConnection";
-import { UpstreamPeer } from "./upstreamPeer";
 
 /** Time allowed for the probe of an upstream, as a part of the timeout that had expired, and at least this long. */
 const shortestProbeMs = 50;
--- a/packages/routing/src/transactionExecutor.ts
+++ b/packages/routing/src/owner/transactionExecutor.ts
@@ -5,17 +5,17 @@
 import { StatementResult } from "@vanillarouter/base/statementResult";
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
 import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { TransactionEnd } from "../entry/transactionEnd";
+import { TransactionStatement } from "../entry/transactionStatement";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { OutcomeResolver } from "../outcomes/outcomeResolver";
+import { SlotRequest } from "../scheduling/slotRequest";
 import { ConnectionPool } from "./connectionPool";
-import { Diagnostics } from "./diagnostics";
 import { OpenTransaction } from "./openTransaction";
-import { OutcomeResolver } from "./outcomeResolver";
 import { OwnerContext } from "./ownerContext";
 import { PooledConnection } from "./pooledConnection";
-import { SlotRequest } from "./slotRequest";
-import { TransactionEnd } from "./transactionEnd";
 import { TransactionRequest } from "./transactionRequest";
-import { TransactionStatement } from "./transactionStatement";
-import { UpstreamAnswer } from "./upstreamAnswer";
 
 /**
  * Doublings of the progress timeout for statements of a transaction. A transaction is lost with its connection, while a
--- a/packages/routing/src/transactions.test.ts
+++ b/packages/routing/src/owner/transactions.test.ts
@@ -7,8 +7,8 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { FakeOwnerBed } from "./fakeOwnerBed";
-import { StatementKind } from "./statementKind";
+import { StatementKind } from "../entry/statementKind";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
 import { TransactionRequest } from "./transactionRequest";
 
 function createBegin(requestId: string, overrides: Partial<TransactionRequest> = {}): TransactionRequest {
--- a/packages/routing/src/upstreamOwner.test.ts
+++ b/packages/routing/src/owner/upstreamOwner.test.ts
@@ -7,9 +7,9 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { FakeOwnerBed } from "./fakeOwnerBed";
+import { StatementKind } from "../entry/statementKind";
+import { FakeOwnerBed } from "../testing/fakeOwnerBed";
 import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
 
 function createRequest(overrides: Partial<OwnerRequest> = {}): OwnerRequest {
     return {
--- a/packages/routing/src/upstreamOwnerSettings.ts
+++ b/packages/routing/src/owner/upstreamOwnerSettings.ts
@@ -4,10 +4,10 @@
 import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { RandomSource } from "@vanillarouter/base/randomSource";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
-import { GroupDirectory } from "./groupDirectory";
+import { GroupDirectory } from "../group/groupDirectory";
+import { UpstreamPeer } from "../group/upstreamPeer";
+import { SharedRates } from "../scheduling/sharedRates";
 import { OwnerDirectory } from "./ownerDirectory";
-import { SharedRates } from "./sharedRates";
-import { UpstreamPeer } from "./upstreamPeer";
 
 /** What the owner of an upstream is made of. */
 export interface UpstreamOwnerSettings {
--- a/packages/routing/src/upstreamWatch.ts
+++ b/packages/routing/src/owner/upstreamWatch.ts
@@ -6,8 +6,8 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
-import { GroupPeer } from "./groupPeer";
-import { UpstreamStatus } from "./upstreamStatus";
+import { GroupPeer } from "../group/groupPeer";
+import { UpstreamStatus } from "../group/upstreamStatus";
 
 /**
  * Interval between reads of the status while nothing waits for a change, in milliseconds. Answers of the upstream show
--- a/packages/routing/src/writeExecutor.ts
+++ b/packages/routing/src/owner/writeExecutor.ts
@@ -4,13 +4,13 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Err, Ok, Result } from "ts-results";
-import { DecayingMean } from "./decayingMean";
-import { Diagnostics } from "./diagnostics";
-import { OutcomeResolver } from "./outcomeResolver";
+import { Diagnostics } from "../diagnostics";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { OutcomeResolver } from "../outcomes/outcomeResolver";
+import { DecayingMean } from "../scheduling/decayingMean";
+import { SlotRequest } from "../scheduling/slotRequest";
 import { OwnerContext } from "./ownerContext";
 import { OwnerRequest } from "./ownerRequest";
-import { SlotRequest } from "./slotRequest";
-import { UpstreamAnswer } from "./upstreamAnswer";
 
 /** Part of a request's time kept for recording a cancellation after a lost reply, and its bounds in milliseconds. */
 const reservedFraction = 0.25;
--- a/packages/routing/src/overload.test.ts
+++ b/packages/routing/src/scheduling/overload.test.ts
@@ -2,12 +2,12 @@
 import { Rank } from "@vanillarouter/base/rank";
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
-import { ExperimentClass } from "./experimentClass";
-import { ExperimentCounts } from "./experimentCounts";
-import { FirstComeScheduler } from "./firstComeScheduler";
+import { ExperimentClass } from "../testing/experimentClass";
+import { ExperimentCounts } from "../testing/experimentCounts";
+import { FirstComeScheduler } from "../testing/firstComeScheduler";
+import { OverloadExperiment } from "../testing/overloadExperiment";
+import { OverloadScenarios } from "../testing/overloadScenarios";
 import { OrdinaryShares } from "./ordinaryShares";
-import { OverloadExperiment } from "./overloadExperiment";
-import { OverloadScenarios } from "./overloadScenarios";
 import { SlotScheduler } from "./slotScheduler";
 import { StatementScheduler } from "./statementScheduler";
 
--- a/packages/routing/src/slotScheduler.test.ts
+++ b/packages/routing/src/scheduling/slotScheduler.test.ts
@@ -9,7 +9,7 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { FirstComeScheduler } from "./firstComeScheduler";
+import { FirstComeScheduler } from "../testing/firstComeScheduler";
 import { SlotRequest } from "./slotRequest";
 import { SlotScheduler } from "./slotScheduler";
 import { StatementScheduler } from "./statementScheduler";
--- a/packages/routing/src/testing/entryTestBed.ts
+++ b/packages/routing/src/testing/entryTestBed.ts
@@ -6,10 +6,10 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { Task } from "@vanillarouter/base/task";
 import { WorkClass } from "@vanillarouter/base/workClass";
-import { EntryService } from "../entryService";
-import { KnownGroupViews } from "../knownGroupViews";
-import { StatementRequest } from "../statementRequest";
-import { FakeGroup } from "./fakeGroup";
+import { EntryService } from "../entry/entryService";
+import { StatementRequest } from "../entry/statementRequest";
+import { KnownGroupViews } from "../group/knownGroupViews";
+import { FakeOwnedGroup } from "./fakeOwnedGroup";
 
 const classes: readonly WorkClass[] = [
     { name: "orders", rank: Rank.Urgent, targetMs: 400, readOnly: false },
@@ -19,7 +19,7 @@
 /** Entry services of several VMs in front of one fake group. */
 export class EntryTestBed {
     public readonly clock = ManualClock.create();
-    public readonly group = FakeGroup.create(this.clock);
+    public readonly group = FakeOwnedGroup.create(this.clock);
     public readonly vms: readonly EntryService[];
     /** Group views of each VM. */
     public readonly views: readonly KnownGroupViews[];
--- a/packages/routing/src/fakeConnection.ts
+++ b/packages/routing/src/testing/fakeConnection.ts
@@ -5,11 +5,11 @@
 import { perform } from "@vanillarouter/base/perform";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err, Ok, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { UpstreamConnection } from "../group/upstreamConnection";
 import { FakeGroup } from "./fakeGroup";
 import { FakeUpstream } from "./fakeUpstream";
-import { UpstreamAnswer } from "./upstreamAnswer";
-import { UpstreamConnection } from "./upstreamConnection";
 
 type Answer = Result<UpstreamAnswer, Failure>;
 
--- a/packages/routing/src/testing/fakeGroup.ts
+++ b/packages/routing/src/testing/fakeGroup.ts
@@ -1,225 +1,179 @@
-import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { Clock } from "@vanillarouter/base/clock";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
 import { Failure } from "@vanillarouter/base/failure";
-import { LogPosition } from "@vanillarouter/base/logPosition";
-import { ManualClock } from "@vanillarouter/base/manualClock";
+import { GroupView } from "@vanillarouter/base/groupView";
 import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
-import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Task } from "@vanillarouter/base/task";
+import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Ok, Result } from "ts-results";
 import { Diagnostics } from "../diagnostics";
-import { OwnerAnswer } from "../ownerAnswer";
-import { OwnerDirectory } from "../ownerDirectory";
-import { OwnerLink } from "../ownerLink";
-import { OwnerRequest } from "../ownerRequest";
-import { StatementKind } from "../statementKind";
-import { FakeFault } from "./fakeFault";
-
-interface Entry {
-    readonly at: LogPosition;
-    readonly time: number;
-    readonly requestId: string;
-    readonly cancelled: boolean;
-}
-
-const roundTripMs = 2;
-const lateRunMs = 60;
+import { GroupDirectory } from "../group/groupDirectory";
+import { GroupPeer } from "../group/groupPeer";
+import { UpstreamConnection } from "../group/upstreamConnection";
+import { UpstreamPeer } from "../group/upstreamPeer";
+import { FakeConnection } from "./fakeConnection";
+import { FakeGroupOptions } from "./fakeGroupOptions";
+import { FakeGroupPeer } from "./fakeGroupPeer";
+import { FakeLogEntry } from "./fakeLogEntry";
+import { FakeUpstream } from "./fakeUpstream";
 
 /**
- * A database group of three upstreams behind fake owners, for tests of the entry role. It holds the acknowledged log
- * only; a replica has applied what is older than its lag. Records every execution, so tests count from its record.
+ * A database group in memory for tests and measurements: terms, logs, replication, slots and connections, on a given
+ * clock. It is both the peer and the directory of the group; the first upstream is primary in term 1.
  */
-export class FakeGroup {
-    public readonly settings: DatabaseGroup;
-    public readonly log: Entry[] = [{ at: { term: 1, position: 0 }, time: -1_000_000, requestId: "", cancelled: false }];
-    public readonly lagMs = new Map<string, number>();
-    public readonly leaving = new Set<string>();
-    public term = 1;
-    public primary: string | undefined = "u1";
-    /** Calls of `execute` by upstream. */
-    public readonly attempts = new Map<string, number>();
-    /** Fault of the next call. */
-    public nextFault: () => FakeFault = () => FakeFault.None;
-    /** Whether the primary's term can be confirmed by another upstream. */
-    public canConfirm = true;
-    /** Time at which `canConfirm` became false, in milliseconds. */
-    public isolatedAt = 0;
-    private readonly openTransactions = new Map<string, number>();
-
-    private constructor(private readonly clock: ManualClock) {
-        const upstreams = ["u1", "u2", "u3"].map(id => ({ id, zone: "z1", host: "127.0.0.1", port: 1, slots: 2, maxConnections: 30 }));
-        this.settings = { name: "orders", upstreams };
-    }
-
-    public static create(clock: ManualClock): FakeGroup {
-        return new FakeGroup(clock);
+export class FakeGroup implements UpstreamPeer, GroupDirectory {
+    public readonly changed = Signal.create<GroupView>();
+    public readonly clock: Clock;
+    public readonly group: DatabaseGroup;
+    public readonly networkMs: number;
+    public readonly connections: FakeConnection[] = [];
+    /** Questions for the status of an upstream. */
+    public statusReads = 0;
+    /** Questions whether an upstream holds an entry. */
+    public receivedQuestions = 0;
+    private readonly upstreams: ReadonlyMap<string, FakeUpstream>;
+    private view: GroupView;
+
+    private constructor(private readonly options: FakeGroupOptions) {
+        this.clock = options.clock;
+        this.group = options.group;
+        this.networkMs = options.networkMs ?? 0.5;
+        this.upstreams = new Map(options.group.upstreams.map(settings => [settings.id, FakeUpstream.create(settings, options.clock)]));
+        const first = options.group.upstreams[0]!.id;
+        this.view = { group: options.group.name, term: 1, primary: first };
+        this.setPrimary(first);
+    }
+
+    public static create(options: FakeGroupOptions): FakeGroup {
+        return new FakeGroup(options);
+    }
+
+    public find(group: string): GroupView | undefined {
+        return group === this.group.name ? this.view : undefined;
+    }
+
+    public learn(view: GroupView): boolean {
+        if (view.term <= this.view.term) return false;
+        this.view = view;
+        this.changed.notifyAll(view);
+        return true;
+    }
+
+    public get(upstream: string): FakeUpstream {
+        return this.upstreams.get(upstream)!;
+    }
+
+    /** Log of the current primary: what the group has finally recorded. */
+    public get finalLog(): readonly FakeLogEntry[] {
+        return this.get(this.view.primary!).log;
+    }
+
+    /**
+     * Makes the best of the reachable upstreams other than `except` primary of the next term, as a coordinator does. The
+     * directory learns of it after `learnAfterMs`; until then owners believe in the old primary.
+     */
+    public failOver(except?: string, learnAfterMs = 0): string | undefined {
+        const term = Math.max(...[...this.upstreams.values()].map(upstream => upstream.acceptedTerm)) + 1;
+        const voters = [...this.upstreams.values()].filter(upstream => upstream.isReachable && upstream.settings.id !== except);
+        if (voters.length * 2 <= this.upstreams.size) return undefined;
+        for (const voter of voters) voter.acceptedTerm = term;
+        const rank = (upstream: FakeUpstream): number => upstream.received.term * 1e9 + upstream.received.position;
+        const best = voters.reduce((first, second) => rank(second) > rank(first) ? second : first);
+        this.setPrimary(best.settings.id);
+        this.clock.startTimer(learnAfterMs, () => this.learn({ group: this.group.name, term, primary: best.settings.id }));
+        return best.settings.id;
+    }
+
+    /** Ends all faults, and lets every upstream follow the primary of the highest term. */
+    public heal(): void {
+        const term = Math.max(...[...this.upstreams.values()].map(upstream => upstream.acceptedTerm));
+        const primary = [...this.upstreams.values()].find(upstream => upstream.isPrimary && upstream.acceptedTerm === term);
+        for (const upstream of this.upstreams.values()) {
+            upstream.isReachable = true;
+            upstream.isReplicating = true;
+            upstream.slowness = 1;
+            upstream.repliesToLose = 0;
+            if (primary === undefined || upstream === primary) continue;
+            upstream.acceptedTerm = term;
+            upstream.isPrimary = false;
+            upstream.primary = primary.settings.id;
+            upstream.replicateFrom(primary);
+        }
     }
 
-    public get last(): LogPosition {
-        return this.log.at(-1)!.at;
+    public measure(sql: string): number {
+        return this.options.measureStatement?.(sql) ?? 2;
     }
 
-    /** Makes an upstream primary in the next term; undefined leaves the group without one. */
-    public changePrimary(primary: string | undefined): void {
-        this.term++;
-        this.primary = primary;
+    /** Sends new entries of a primary to the replicas that follow it. */
+    public replicate(primary: FakeUpstream): void {
+        this.clock.startTimer(this.networkMs, () => {
+            if (!primary.isPrimary) return;
+            for (const upstream of this.upstreams.values()) if (upstream !== primary) upstream.replicateFrom(primary);
+        });
     }
 
-    public countExecutions(requestId: string): number {
-        return this.log.filter(entry => entry.requestId === requestId && !entry.cancelled).length;
+    public *connect(upstream: UpstreamSettings, timeoutMs: number): Operation<Result<UpstreamConnection, Failure>> {
+        const target = this.get(upstream.id);
+        yield* sleep(this.clock, Math.min(this.options.connectMs ?? 10, timeoutMs));
+        if (!target.isReachable || target.openConnections >= upstream.maxConnections) {
+            return Err(createFailure(Diagnostics.connectionLost, RunOutcome.DidNotRun, upstream.id, "refused"));
+        }
+        const connection = FakeConnection.create(this, target);
+        this.connections.push(connection);
+        return Ok(connection);
     }
 
-    /** Last entry that reads on an upstream see. */
-    public readApplied(upstream: string): LogPosition {
-        if (upstream === this.primary) return this.last;
-        const visible = this.clock.now() - (this.lagMs.get(upstream) ?? 0);
-        return this.log.findLast(entry => entry.time <= visible)!.at;
+    public openGroupPeer(upstream: UpstreamSettings): GroupPeer {
+        return FakeGroupPeer.create(this, this.get(upstream.id));
     }
 
-    /** Owners as a VM sees them that reaches the upstreams for which `canReach` holds. */
-    public createDirectory(canReach: (upstream: string) => boolean = () => true): OwnerDirectory {
-        const links = new Map(this.settings.upstreams.map(upstream => [upstream.id, this.createLink(upstream.id)]));
-        return {
-            findOwner: upstream => canReach(upstream) ? links.get(upstream) : undefined,
-            isLeaving: upstream => this.leaving.has(upstream),
-        };
+    /**
+     * Carries a question to an upstream and its answer back. The upstream goes on when the asking task is cancelled.
+     * Nothing comes back while `isCut` holds or the upstream is out of reach.
+     */
+    public exchange<T>(upstream: FakeUpstream, isCut: () => boolean, serve: () => Operation<T>): Operation<T> {
+        return perform<T>({
+            start: resume => {
+                this.post(upstream, isCut, serve, resume);
+                return () => {};
+            },
+        });
     }
 
-    private createLink(upstream: string): OwnerLink {
-        return {
-            execute: req => this.execute(req),
-            begin: req => this.begin(req.requestId, req.upstream, req.term),
-            executeInTransaction: req => this.executeInTransaction(req.transactionId, req.sql),
-            endTransaction: req => this.endTransaction(req.transactionId, upstream, req.commit),
-            resolveOutcome: req => this.resolveOutcome(req.requestId, upstream),
-            confirmPosition: (group, asked) => this.confirm(group, asked),
+    /** As `exchange`, with a listener for the answer. */
+    public post<T>(upstream: FakeUpstream, isCut: () => boolean, serve: () => Operation<T>, listener: (answer: T) => void): void {
+        const deliver = (task: Task<T>): void => {
+            if (!isCut() && upstream.isReachable) task.deliver(listener, () => {});
         };
+        this.clock.startTimer(this.networkMs, () => {
+            if (isCut() || !upstream.isReachable) return;
+            const task = Task.start(serve());
+            task.onSettled(() => this.clock.startTimer(this.networkMs, () => deliver(task)));
+        });
     }
 
-    private *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
-        this.attempts.set(req.upstream, (this.attempts.get(req.upstream) ?? 0) + 1);
-        const fault = this.nextFault();
-        yield* sleep(this.clock, roundTripMs / 2);
-        if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.linkFailed, RunOutcome.DidNotRun, "vm", "refused"));
-        if (fault === FakeFault.Shed) return Err(createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, req.timeoutMs));
-        if (fault === FakeFault.LoseRequest) return this.lose();
-        if (fault === FakeFault.RunLate) {
-            this.clock.startTimer(lateRunMs, () => this.run(req));
-            return this.lose();
-        }
-        const result = this.run(req);
-        yield* sleep(this.clock, roundTripMs / 2);
-        if (fault === FakeFault.LoseReply) return this.lose();
-        return fault === FakeFault.MixUp && result.ok ? Ok({ ...result.val, requestId: "other", result: this.makeResult(["other"]) }) : result;
-    }
-
-    private run(req: OwnerRequest): Result<OwnerAnswer, Failure> {
-        return req.kind === StatementKind.Read ? this.read(req) : this.write(req);
+    /** As `exchange`, with an end: a failure with outcome Unknown after `timeoutMs`. */
+    public *ask<T>(upstream: FakeUpstream, timeoutMs: number, serve: () => Operation<Result<T, Failure>>): Operation<Result<T, Failure>> {
+        const answer = yield* withTimeout(this.clock, timeoutMs, this.exchange(upstream, () => false, serve));
+        return answer ?? Err(createFailure(Diagnostics.timedOut, RunOutcome.Unknown, timeoutMs));
     }
 
-    private read(req: OwnerRequest): Result<OwnerAnswer, Failure> {
-        const applied = this.readApplied(req.upstream);
-        if (req.floor !== undefined && compareLogPositions(applied, req.floor) < 0) {
-            return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.DidNotRun, req.upstream, req.floor.position));
+    private setPrimary(id: string): void {
+        for (const upstream of this.upstreams.values()) {
+            const isReplaced = upstream.acceptedTerm === this.get(id).acceptedTerm;
+            if (!isReplaced) continue;
+            upstream.isPrimary = upstream.settings.id === id;
+            upstream.primary = id;
         }
-        const ageMs = req.upstream === this.primary ? (this.canConfirm ? 0 : Infinity) : this.measureProvenAge(req.upstream);
-        if (req.maxAgeMs !== undefined && ageMs > req.maxAgeMs) {
-            return Err(createFailure(Diagnostics.notFreshEnough, RunOutcome.DidNotRun, req.group, req.maxAgeMs));
-        }
-        return this.answer(req.requestId, req.upstream, applied, req.sql);
-    }
-
-    /** Time since the group could last confirm a position that the upstream has applied. */
-    private measureProvenAge(upstream: string): number {
-        const lag = this.lagMs.get(upstream) ?? 0;
-        return this.canConfirm ? lag : lag + this.clock.now() - this.isolatedAt;
-    }
-
-    private write(req: OwnerRequest): Result<OwnerAnswer, Failure> {
-        const refusal = this.checkTerm(req.upstream, req.term);
-        if (refusal !== undefined) return Err(refusal);
-        const recorded = this.log.find(entry => entry.requestId === req.requestId);
-        if (recorded?.cancelled === true) return Err(createFailure(Diagnostics.requestCancelled, RunOutcome.DidNotRun, req.requestId));
-        return this.answer(req.requestId, req.upstream, recorded?.at ?? this.append(req.requestId, false), req.sql);
-    }
-
-    private checkTerm(upstream: string, term: number | undefined): Failure | undefined {
-        if (upstream === this.primary && term === this.term) return undefined;
-        const failure = createFailure(Diagnostics.termReplaced, RunOutcome.DidNotRun, upstream, term ?? 0);
-        return { ...failure, details: { group: this.settings.name, term: this.term, primary: this.primary } };
-    }
-
-    private append(requestId: string, cancelled: boolean): LogPosition {
-        const at = { term: this.term, position: this.last.position + 1 };
-        this.log.push({ at, time: this.clock.now(), requestId, cancelled });
-        return at;
-    }
-
-    private *begin(id: string, upstream: string, term: number): Operation<Result<void, Failure>> {
-        yield* sleep(this.clock, roundTripMs);
-        const refusal = this.checkTerm(upstream, term);
-        if (refusal !== undefined) return Err(refusal);
-        this.openTransactions.set(id, term);
-        return Ok.EMPTY;
-    }
-
-    private *executeInTransaction(id: string, sql: string): Operation<Result<StatementResult, Failure>> {
-        const fault = this.nextFault();
-        yield* sleep(this.clock, roundTripMs);
-        if (fault !== FakeFault.None) return this.lose();
-        if (!this.openTransactions.has(id)) return Err(createFailure(Diagnostics.transactionLost, RunOutcome.DidNotRun, id, "u"));
-        return Ok(this.makeResult([sql]));
-    }
-
-    private *endTransaction(id: string, upstream: string, commit: boolean): Operation<Result<OwnerAnswer, Failure>> {
-        const fault = commit ? this.nextFault() : FakeFault.None;
-        yield* sleep(this.clock, roundTripMs);
-        if (fault === FakeFault.LoseRequest) return this.lose();
-        const term = this.openTransactions.get(id);
-        this.openTransactions.delete(id);
-        if (term === undefined) return Err(createFailure(Diagnostics.transactionLost, RunOutcome.DidNotRun, id, upstream));
-        if (!commit) return this.answer(id, upstream, this.last, "");
-        const refusal = this.checkTerm(upstream, term);
-        if (refusal !== undefined) return Err(refusal);
-        const at = this.append(id, false);
-        return fault === FakeFault.LoseReply ? this.lose() : this.answer(id, upstream, at, "");
-    }
-
-    private *resolveOutcome(requestId: string, upstream: string): Operation<Result<OwnerAnswer, Failure>> {
-        const fault = this.nextFault();
-        yield* sleep(this.clock, roundTripMs);
-        if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.ownerChanged, RunOutcome.DidNotRun, upstream));
-        if (fault === FakeFault.LoseRequest || upstream !== this.primary) return this.lose();
-        let recorded = this.log.find(entry => entry.requestId === requestId);
-        if (recorded === undefined) {
-            this.append(requestId, true);
-            recorded = this.log.at(-1)!;
-        }
-        if (fault === FakeFault.LoseReply) return this.lose();
-        if (recorded.cancelled) return Err(createFailure(Diagnostics.requestCancelled, RunOutcome.DidNotRun, requestId));
-        return this.answer(requestId, upstream, recorded.at, "");
-    }
-
-    private *confirm(group: string, upstream: string): Operation<Result<{ group: string; term: number; position: LogPosition; }, Failure>> {
-        yield* sleep(this.clock, roundTripMs);
-        const refusal = this.checkTerm(upstream, this.term);
-        if (refusal !== undefined) return Err(refusal);
-        if (!this.canConfirm) return Err(createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, group));
-        return Ok({ group, term: this.term, position: this.last });
-    }
-
-    private answer(requestId: string, upstream: string, at: LogPosition, sql: string): Result<OwnerAnswer, Failure> {
-        const load = { upstream, queueDelayMs: 0, applied: this.readApplied(upstream) };
-        return Ok({ requestId, result: this.makeResult([sql, upstream, String(at.position)]), at, load });
-    }
-
-    private makeResult(row: readonly string[]): StatementResult {
-        return { columns: [], rows: [row], affectedRows: 1, insertId: 0, info: "" };
-    }
-
-    private lose(): Err<Failure> {
-        return Err(createFailure(Diagnostics.linkFailed, RunOutcome.Unknown, "vm", "reply lost"));
+        const primary = this.get(id);
+        primary.append({ sql: "", isCancellation: false });
+        this.replicate(primary);
     }
 }
--- a/packages/routing/src/fakeGroupPeer.ts
+++ b/packages/routing/src/testing/fakeGroupPeer.ts
@@ -5,13 +5,13 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err, Ok, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { GroupPeer } from "../group/groupPeer";
+import { TermAnswer } from "../group/termAnswer";
+import { UpstreamStatus } from "../group/upstreamStatus";
+import { RecordedOutcome } from "../outcomes/recordedOutcome";
 import { FakeGroup } from "./fakeGroup";
 import { FakeUpstream } from "./fakeUpstream";
-import { GroupPeer } from "./groupPeer";
-import { RecordedOutcome } from "./recordedOutcome";
-import { TermAnswer } from "./termAnswer";
-import { UpstreamStatus } from "./upstreamStatus";
 
 /** The control side of a fake upstream. */
 export class FakeGroupPeer implements GroupPeer {
--- /dev/null
+++ b/packages/routing/src/testing/fakeOwnedGroup.ts
@@ -0,0 +1,225 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { createFailure } from "@vanillarouter/base/createFailure";
+import { DatabaseGroup } from "@vanillarouter/base/databaseGroup";
+import { Failure } from "@vanillarouter/base/failure";
+import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ManualClock } from "@vanillarouter/base/manualClock";
+import { Operation } from "@vanillarouter/base/operation";
+import { RunOutcome } from "@vanillarouter/base/runOutcome";
+import { sleep } from "@vanillarouter/base/sleep";
+import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Err, Ok, Result } from "ts-results";
+import { Diagnostics } from "../diagnostics";
+import { StatementKind } from "../entry/statementKind";
+import { OwnerAnswer } from "../owner/ownerAnswer";
+import { OwnerDirectory } from "../owner/ownerDirectory";
+import { OwnerLink } from "../owner/ownerLink";
+import { OwnerRequest } from "../owner/ownerRequest";
+import { FakeFault } from "./fakeFault";
+
+interface Entry {
+    readonly at: LogPosition;
+    readonly time: number;
+    readonly requestId: string;
+    readonly cancelled: boolean;
+}
+
+const roundTripMs = 2;
+const lateRunMs = 60;
+
+/**
+ * A database group of three upstreams behind fake owners, for tests of the entry role. It holds the acknowledged log
+ * only; a replica has applied what is older than its lag. Records every execution, so tests count from its record.
+ */
+export class FakeOwnedGroup {
+    public readonly settings: DatabaseGroup;
+    public readonly log: Entry[] = [{ at: { term: 1, position: 0 }, time: -1_000_000, requestId: "", cancelled: false }];
+    public readonly lagMs = new Map<string, number>();
+    public readonly leaving = new Set<string>();
+    public term = 1;
+    public primary: string | undefined = "u1";
+    /** Calls of `execute` by upstream. */
+    public readonly attempts = new Map<string, number>();
+    /** Fault of the next call. */
+    public nextFault: () => FakeFault = () => FakeFault.None;
+    /** Whether the primary's term can be confirmed by another upstream. */
+    public canConfirm = true;
+    /** Time at which `canConfirm` became false, in milliseconds. */
+    public isolatedAt = 0;
+    private readonly openTransactions = new Map<string, number>();
+
+    private constructor(private readonly clock: ManualClock) {
+        const upstreams = ["u1", "u2", "u3"].map(id => ({ id, zone: "z1", host: "127.0.0.1", port: 1, slots: 2, maxConnections: 30 }));
+        this.settings = { name: "orders", upstreams };
+    }
+
+    public static create(clock: ManualClock): FakeOwnedGroup {
+        return new FakeOwnedGroup(clock);
+    }
+
+    public get last(): LogPosition {
+        return this.log.at(-1)!.at;
+    }
+
+    /** Makes an upstream primary in the next term; undefined leaves the group without one. */
+    public changePrimary(primary: string | undefined): void {
+        this.term++;
+        this.primary = primary;
+    }
+
+    public countExecutions(requestId: string): number {
+        return this.log.filter(entry => entry.requestId === requestId && !entry.cancelled).length;
+    }
+
+    /** Last entry that reads on an upstream see. */
+    public readApplied(upstream: string): LogPosition {
+        if (upstream === this.primary) return this.last;
+        const visible = this.clock.now() - (this.lagMs.get(upstream) ?? 0);
+        return this.log.findLast(entry => entry.time <= visible)!.at;
+    }
+
+    /** Owners as a VM sees them that reaches the upstreams for which `canReach` holds. */
+    public createDirectory(canReach: (upstream: string) => boolean = () => true): OwnerDirectory {
+        const links = new Map(this.settings.upstreams.map(upstream => [upstream.id, this.createLink(upstream.id)]));
+        return {
+            findOwner: upstream => canReach(upstream) ? links.get(upstream) : undefined,
+            isLeaving: upstream => this.leaving.has(upstream),
+        };
+    }
+
+    private createLink(upstream: string): OwnerLink {
+        return {
+            execute: req => this.execute(req),
+            begin: req => this.begin(req.requestId, req.upstream, req.term),
+            executeInTransaction: req => this.executeInTransaction(req.transactionId, req.sql),
+            endTransaction: req => this.endTransaction(req.transactionId, upstream, req.commit),
+            resolveOutcome: req => this.resolveOutcome(req.requestId, upstream),
+            confirmPosition: (group, asked) => this.confirm(group, asked),
+        };
+    }
+
+    private *execute(req: OwnerRequest): Operation<Result<OwnerAnswer, Failure>> {
+        this.attempts.set(req.upstream, (this.attempts.get(req.upstream) ?? 0) + 1);
+        const fault = this.nextFault();
+        yield* sleep(this.clock, roundTripMs / 2);
+        if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.linkFailed, RunOutcome.DidNotRun, "vm", "refused"));
+        if (fault === FakeFault.Shed) return Err(createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, req.timeoutMs));
+        if (fault === FakeFault.LoseRequest) return this.lose();
+        if (fault === FakeFault.RunLate) {
+            this.clock.startTimer(lateRunMs, () => this.run(req));
+            return this.lose();
+        }
+        const result = this.run(req);
+        yield* sleep(this.clock, roundTripMs / 2);
+        if (fault === FakeFault.LoseReply) return this.lose();
+        return fault === FakeFault.MixUp && result.ok ? Ok({ ...result.val, requestId: "other", result: this.makeResult(["other"]) }) : result;
+    }
+
+    private run(req: OwnerRequest): Result<OwnerAnswer, Failure> {
+        return req.kind === StatementKind.Read ? this.read(req) : this.write(req);
+    }
+
+    private read(req: OwnerRequest): Result<OwnerAnswer, Failure> {
+        const applied = this.readApplied(req.upstream);
+        if (req.floor !== undefined && compareLogPositions(applied, req.floor) < 0) {
+            return Err(createFailure(Diagnostics.floorNotApplied, RunOutcome.DidNotRun, req.upstream, req.floor.position));
+        }
+        const ageMs = req.upstream === this.primary ? (this.canConfirm ? 0 : Infinity) : this.measureProvenAge(req.upstream);
+        if (req.maxAgeMs !== undefined && ageMs > req.maxAgeMs) {
+            return Err(createFailure(Diagnostics.notFreshEnough, RunOutcome.DidNotRun, req.group, req.maxAgeMs));
+        }
+        return this.answer(req.requestId, req.upstream, applied, req.sql);
+    }
+
+    /** Time since the group could last confirm a position that the upstream has applied. */
+    private measureProvenAge(upstream: string): number {
+        const lag = this.lagMs.get(upstream) ?? 0;
+        return this.canConfirm ? lag : lag + this.clock.now() - this.isolatedAt;
+    }
+
+    private write(req: OwnerRequest): Result<OwnerAnswer, Failure> {
+        const refusal = this.checkTerm(req.upstream, req.term);
+        if (refusal !== undefined) return Err(refusal);
+        const recorded = this.log.find(entry => entry.requestId === req.requestId);
+        if (recorded?.cancelled === true) return Err(createFailure(Diagnostics.requestCancelled, RunOutcome.DidNotRun, req.requestId));
+        return this.answer(req.requestId, req.upstream, recorded?.at ?? this.append(req.requestId, false), req.sql);
+    }
+
+    private checkTerm(upstream: string, term: number | undefined): Failure | undefined {
+        if (upstream === this.primary && term === this.term) return undefined;
+        const failure = createFailure(Diagnostics.termReplaced, RunOutcome.DidNotRun, upstream, term ?? 0);
+        return { ...failure, details: { group: this.settings.name, term: this.term, primary: this.primary } };
+    }
+
+    private append(requestId: string, cancelled: boolean): LogPosition {
+        const at = { term: this.term, position: this.last.position + 1 };
+        this.log.push({ at, time: this.clock.now(), requestId, cancelled });
+        return at;
+    }
+
+    private *begin(id: string, upstream: string, term: number): Operation<Result<void, Failure>> {
+        yield* sleep(this.clock, roundTripMs);
+        const refusal = this.checkTerm(upstream, term);
+        if (refusal !== undefined) return Err(refusal);
+        this.openTransactions.set(id, term);
+        return Ok.EMPTY;
+    }
+
+    private *executeInTransaction(id: string, sql: string): Operation<Result<StatementResult, Failure>> {
+        const fault = this.nextFault();
+        yield* sleep(this.clock, roundTripMs);
+        if (fault !== FakeFault.None) return this.lose();
+        if (!this.openTransactions.has(id)) return Err(createFailure(Diagnostics.transactionLost, RunOutcome.DidNotRun, id, "u"));
+        return Ok(this.makeResult([sql]));
+    }
+
+    private *endTransaction(id: string, upstream: string, commit: boolean): Operation<Result<OwnerAnswer, Failure>> {
+        const fault = commit ? this.nextFault() : FakeFault.None;
+        yield* sleep(this.clock, roundTripMs);
+        if (fault === FakeFault.LoseRequest) return this.lose();
+        const term = this.openTransactions.get(id);
+        this.openTransactions.delete(id);
+        if (term === undefined) return Err(createFailure(Diagnostics.transactionLost, RunOutcome.DidNotRun, id, upstream));
+        if (!commit) return this.answer(id, upstream, this.last, "");
+        const refusal = this.checkTerm(upstream, term);
+        if (refusal !== undefined) return Err(refusal);
+        const at = this.append(id, false);
+        return fault === FakeFault.LoseReply ? this.lose() : this.answer(id, upstream, at, "");
+    }
+
+    private *resolveOutcome(requestId: string, upstream: string): Operation<Result<OwnerAnswer, Failure>> {
+        const fault = this.nextFault();
+        yield* sleep(this.clock, roundTripMs);
+        if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.ownerChanged, RunOutcome.DidNotRun, upstream));
+        if (fault === FakeFault.LoseRequest || upstream !== this.primary) return this.lose();
+        let recorded = this.log.find(entry => entry.requestId === requestId);
+        if (recorded === undefined) {
+            this.append(requestId, true);
+            recorded = this.log.at(-1)!;
+        }
+        if (fault === FakeFault.LoseReply) return this.lose();
+        if (recorded.cancelled) return Err(createFailure(Diagnostics.requestCancelled, RunOutcome.DidNotRun, requestId));
+        return this.answer(requestId, upstream, recorded.at, "");
+    }
+
+    private *confirm(group: string, upstream: string): Operation<Result<{ group: string; term: number; position: LogPosition; }, Failure>> {
+        yield* sleep(this.clock, roundTripMs);
+        const refusal = this.checkTerm(upstream, this.term);
+        if (refusal !== undefined) return Err(refusal);
+        if (!this.canConfirm) return Err(createFailure(Diagnostics.noPrimary, RunOutcome.DidNotRun, group));
+        return Ok({ group, term: this.term, position: this.last });
+    }
+
+    private answer(requestId: string, upstream: string, at: LogPosition, sql: string): Result<OwnerAnswer, Failure> {
+        const load = { upstream, queueDelayMs: 0, applied: this.readApplied(upstream) };
+        return Ok({ requestId, result: this.makeResult([sql, upstream, String(at.position)]), at, load });
+    }
+
+    private makeResult(row: readonly string[]): StatementResult {
+        return { columns: [], rows: [row], affectedRows: 1, insertId: 0, info: "" };
+    }
+
+    private lose(): Err<Failure> {
+        return Err(createFailure(Diagnostics.linkFailed, RunOutcome.Unknown, "vm", "reply lost"));
+    }
+}
--- a/packages/routing/src/fakeOwnerBed.ts
+++ b/packages/routing/src/testing/fakeOwnerBed.ts
@@ -6,11 +6,11 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { Task } from "@vanillarouter/base/task";
 import { WorkClass } from "@vanillarouter/base/workClass";
+import { OwnerDirectory } from "../owner/ownerDirectory";
+import { OwnerLink } from "../owner/ownerLink";
+import { UpstreamOwner } from "../owner/upstreamOwner";
 import { FakeGroup } from "./fakeGroup";
 import { FakeGroupOptions } from "./fakeGroupOptions";
-import { OwnerDirectory } from "./ownerDirectory";
-import { OwnerLink } from "./ownerLink";
-import { UpstreamOwner } from "./upstreamOwner";
 
 /** A fake group of three upstreams with an owner for each, on a controlled clock. */
 export class FakeOwnerBed implements OwnerDirectory {
--- a/packages/routing/src/fakeUpstream.ts
+++ b/packages/routing/src/testing/fakeUpstream.ts
@@ -5,9 +5,9 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
+import { UpstreamStatus } from "../group/upstreamStatus";
+import { RecordedOutcome } from "../outcomes/recordedOutcome";
 import { FakeLogEntry } from "./fakeLogEntry";
-import { RecordedOutcome } from "./recordedOutcome";
-import { UpstreamStatus } from "./upstreamStatus";
 
 /** Entry before the first of a log. */
 const emptyPosition: LogPosition = { term: 0, position: 0 };
--- a/packages/routing/src/firstComeScheduler.ts
+++ b/packages/routing/src/testing/firstComeScheduler.ts
@@ -2,8 +2,8 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Signal } from "@vanillarouter/base/signal";
 import { Ok, Result } from "ts-results";
-import { SlotRequest } from "./slotRequest";
-import { StatementScheduler } from "./statementScheduler";
+import { SlotRequest } from "../scheduling/slotRequest";
+import { StatementScheduler } from "../scheduling/statementScheduler";
 
 /** First come, first served, without a bound. The naive scheduler that ours is compared with. */
 export class FirstComeScheduler implements StatementScheduler {
--- a/packages/routing/src/naiveOwner.ts
+++ b/packages/routing/src/testing/naiveOwner.ts
@@ -4,12 +4,12 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Result } from "ts-results";
-import { Diagnostics } from "./diagnostics";
+import { Diagnostics } from "../diagnostics";
+import { StatementKind } from "../entry/statementKind";
+import { UpstreamAnswer } from "../group/upstreamAnswer";
+import { UpstreamConnection } from "../group/upstreamConnection";
+import { OwnerRequest } from "../owner/ownerRequest";
 import { FakeGroup } from "./fakeGroup";
-import { OwnerRequest } from "./ownerRequest";
-import { StatementKind } from "./statementKind";
-import { UpstreamAnswer } from "./upstreamAnswer";
-import { UpstreamConnection } from "./upstreamConnection";
 
 /** Time after which the naive owner gives up on a statement, in milliseconds. */
 const statementTimeoutMs = 100;
--- a/packages/routing/src/overloadExperiment.ts
+++ b/packages/routing/src/testing/overloadExperiment.ts
@@ -3,10 +3,10 @@
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
+import { SlotRequest } from "../scheduling/slotRequest";
+import { StatementScheduler } from "../scheduling/statementScheduler";
 import { ExperimentClass } from "./experimentClass";
 import { ExperimentCounts } from "./experimentCounts";
-import { SlotRequest } from "./slotRequest";
-import { StatementScheduler } from "./statementScheduler";
 
 /** Time after the last target within which the last statements end, in milliseconds. */
 const settleMs = 1_000;
--- a/packages/routing/src/overloadExperimentMain.ts
+++ b/packages/routing/src/testing/overloadExperimentMain.ts
@@ -1,10 +1,10 @@
 import { ManualClock } from "@vanillarouter/base/manualClock";
 import { writeSync } from "node:fs";
+import { SlotScheduler } from "../scheduling/slotScheduler";
+import { StatementScheduler } from "../scheduling/statementScheduler";
 import { FirstComeScheduler } from "./firstComeScheduler";
 import { OverloadExperiment } from "./overloadExperiment";
 import { OverloadScenarios } from "./overloadScenarios";
-import { SlotScheduler } from "./slotScheduler";
-import { StatementScheduler } from "./statementScheduler";
 
 /** Arrivals before this time are not counted, in milliseconds. */
 const warmUpMs = 15_000;
--- a/packages/upstream/src/assessGroup.ts
+++ b/packages/upstream/src/assessGroup.ts
@@ -1,4 +1,4 @@
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 import { GroupAssessment } from "./groupAssessment";
 import { GroupCondition } from "./groupCondition";
 
--- a/packages/upstream/src/choosePrimary.ts
+++ b/packages/upstream/src/choosePrimary.ts
@@ -1,5 +1,5 @@
 import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
-import { TermAnswer } from "@vanillarouter/routing/termAnswer";
+import { TermAnswer } from "@vanillarouter/routing/group/termAnswer";
 
 /** An upstream that accepted the candidate's term. */
 interface AcceptedUpstream {
--- a/packages/upstream/src/failoverCoordinator.test.ts
+++ b/packages/upstream/src/failoverCoordinator.test.ts
@@ -1,7 +1,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
 import * as fc from "fast-check";
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
--- a/packages/upstream/src/readStatusRow.ts
+++ b/packages/upstream/src/readStatusRow.ts
@@ -1,5 +1,5 @@
 import { StatementResult } from "@vanillarouter/base/statementResult";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 
 /** Reads the row of `CALL vr_status()` by column names. Returns undefined if a column is missing or no number. */
 export function readStatusRow(result: StatementResult): UpstreamStatus | undefined {
--- a/packages/upstream/src/receivedWaiters.ts
+++ b/packages/upstream/src/receivedWaiters.ts
@@ -6,7 +6,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Task } from "@vanillarouter/base/task";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 import { Err, Ok, Result } from "ts-results";
 import { ControlLink } from "./controlLink";
 import { Diagnostics } from "./diagnostics";
--- a/packages/upstream/src/simulatedGroup.test.ts
+++ b/packages/upstream/src/simulatedGroup.test.ts
@@ -10,10 +10,10 @@
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { Signal } from "@vanillarouter/base/signal";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
-import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
-import { TermAnswer } from "@vanillarouter/routing/termAnswer";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { GroupDirectory } from "@vanillarouter/routing/group/groupDirectory";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
+import { TermAnswer } from "@vanillarouter/routing/group/termAnswer";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 import { Err, Ok, Result } from "ts-results";
 import { Diagnostics } from "./diagnostics";
 
--- a/packages/upstream/src/upstreamWatch.ts
+++ b/packages/upstream/src/upstreamWatch.ts
@@ -5,8 +5,8 @@
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Diagnostics } from "@vanillarouter/routing/diagnostics";
-import { GroupPeer } from "@vanillarouter/routing/groupPeer";
-import { UpstreamStatus } from "@vanillarouter/routing/upstreamStatus";
+import { GroupPeer } from "@vanillarouter/routing/group/groupPeer";
+import { UpstreamStatus } from "@vanillarouter/routing/group/upstreamStatus";
 import { failoverLimits } from "./failoverLimits";
 
 /** The latest states of a group's upstreams, read by one task per upstream. */
--- a/packages/vm/src/groupExchange.ts
+++ b/packages/vm/src/groupExchange.ts
@@ -1,5 +1,5 @@
 import { GroupView } from "@vanillarouter/base/groupView";
-import { SharedRates } from "@vanillarouter/routing/sharedRates";
+import { SharedRates } from "@vanillarouter/routing/scheduling/sharedRates";
 
 /** Views of database groups and ordinary rates of upstreams, as one VM sends them to another. */
 export interface GroupExchange {
--- a/packages/vm/src/guardedOwnerLink.ts
+++ b/packages/vm/src/guardedOwnerLink.ts
@@ -2,14 +2,14 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
-import { ConfirmedPosition } from "@vanillarouter/routing/confirmedPosition";
-import { OutcomeRequest } from "@vanillarouter/routing/outcomeRequest";
-import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
-import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
-import { TransactionEnd } from "@vanillarouter/routing/transactionEnd";
-import { TransactionRequest } from "@vanillarouter/routing/transactionRequest";
-import { TransactionStatement } from "@vanillarouter/routing/transactionStatement";
+import { OutcomeRequest } from "@vanillarouter/routing/entry/outcomeRequest";
+import { TransactionEnd } from "@vanillarouter/routing/entry/transactionEnd";
+import { TransactionStatement } from "@vanillarouter/routing/entry/transactionStatement";
+import { ConfirmedPosition } from "@vanillarouter/routing/freshness/confirmedPosition";
+import { OwnerAnswer } from "@vanillarouter/routing/owner/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/owner/ownerRequest";
+import { TransactionRequest } from "@vanillarouter/routing/owner/transactionRequest";
 import { Err, Result } from "ts-results";
 
 /** The owner role of this VM, used only while it may use its roles. */
--- a/packages/vm/src/linkPool.ts
+++ b/packages/vm/src/linkPool.ts
@@ -4,7 +4,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
 import { VmDescription } from "@vanillarouter/base/vmDescription";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 import { Ok, Result } from "ts-results";
 import { createSocketClass } from "./createSocketClass";
 import { GroupExchange } from "./groupExchange";
--- a/packages/vm/src/links.test.ts
+++ b/packages/vm/src/links.test.ts
@@ -8,10 +8,10 @@
 import { Task } from "@vanillarouter/base/task";
 import { VmDescription } from "@vanillarouter/base/vmDescription";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
-import { OwnerAnswer } from "@vanillarouter/routing/ownerAnswer";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
-import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
-import { StatementKind } from "@vanillarouter/routing/statementKind";
+import { StatementKind } from "@vanillarouter/routing/entry/statementKind";
+import { OwnerAnswer } from "@vanillarouter/routing/owner/ownerAnswer";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
+import { OwnerRequest } from "@vanillarouter/routing/owner/ownerRequest";
 import * as assert from "node:assert/strict";
 import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
 import { test } from "node:test";
@@ -161,6 +161,8 @@
 
 test("P4: a reply after the deadline is dropped and does not answer the next request (guards against answers to another request)", () =>
     withLink(async ({ link }) => {
+        // The link is open before: opening it can take longer than this deadline, and such a call did not run.
+        (await run(link.execute(createRequest("first", "select", StatementKind.Read)))).unwrap();
         const late = await run(link.execute(createRequest("late", "wait 150", StatementKind.Write, 50)));
         assert.equal(late.err && late.val.code, Diagnostics.linkTimedOut.code);
         assert.equal(late.err && late.val.outcome, RunOutcome.Unknown);
--- a/packages/vm/src/nodeRoles.ts
+++ b/packages/vm/src/nodeRoles.ts
@@ -1,5 +1,5 @@
-import { GroupDirectory } from "@vanillarouter/routing/groupDirectory";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { GroupDirectory } from "@vanillarouter/routing/group/groupDirectory";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 import { RateExchange } from "./rateExchange";
 
 /** The roles of this VM that other VMs use or feed. */
--- a/packages/vm/src/openTransactions.ts
+++ b/packages/vm/src/openTransactions.ts
@@ -1,6 +1,6 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Task } from "@vanillarouter/base/task";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 
 const rollbackTimeoutMs = 2_000;
 
--- a/packages/vm/src/peerCalls.ts
+++ b/packages/vm/src/peerCalls.ts
@@ -1,7 +1,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
 import { VmDescription } from "@vanillarouter/base/vmDescription";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 import { Result } from "ts-results";
 import { GroupExchange } from "./groupExchange";
 import { MemberExchange } from "./memberExchange";
--- a/packages/vm/src/peerServices.ts
+++ b/packages/vm/src/peerServices.ts
@@ -1,4 +1,4 @@
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 import { GroupExchange } from "./groupExchange";
 import { MemberExchange } from "./memberExchange";
 import { ShardDelta } from "./shardDelta";
--- a/packages/vm/src/requestSchemas.ts
+++ b/packages/vm/src/requestSchemas.ts
@@ -1,10 +1,10 @@
 import { Rank } from "@vanillarouter/base/rank";
-import { OutcomeRequest } from "@vanillarouter/routing/outcomeRequest";
-import { OwnerRequest } from "@vanillarouter/routing/ownerRequest";
-import { StatementKind } from "@vanillarouter/routing/statementKind";
-import { TransactionEnd } from "@vanillarouter/routing/transactionEnd";
-import { TransactionRequest } from "@vanillarouter/routing/transactionRequest";
-import { TransactionStatement } from "@vanillarouter/routing/transactionStatement";
+import { OutcomeRequest } from "@vanillarouter/routing/entry/outcomeRequest";
+import { StatementKind } from "@vanillarouter/routing/entry/statementKind";
+import { TransactionEnd } from "@vanillarouter/routing/entry/transactionEnd";
+import { TransactionStatement } from "@vanillarouter/routing/entry/transactionStatement";
+import { OwnerRequest } from "@vanillarouter/routing/owner/ownerRequest";
+import { TransactionRequest } from "@vanillarouter/routing/owner/transactionRequest";
 import { z } from "zod";
 import { MemberState } from "./memberState";
 
--- a/packages/vm/src/testing/memoryCluster.ts
+++ b/packages/vm/src/testing/memoryCluster.ts
@@ -1,9 +1,9 @@
 import { ManualClock } from "@vanillarouter/base/manualClock";
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { Task } from "@vanillarouter/base/task";
-import { KnownGroupViews } from "@vanillarouter/routing/knownGroupViews";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
-import { SharedRates } from "@vanillarouter/routing/sharedRates";
+import { KnownGroupViews } from "@vanillarouter/routing/group/knownGroupViews";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
+import { SharedRates } from "@vanillarouter/routing/scheduling/sharedRates";
 import { VmNode } from "../vmNode";
 import { MemoryNetwork } from "./memoryNetwork";
 import { MemoryPeers } from "./memoryPeers";
--- a/packages/vm/src/testing/memoryPeers.ts
+++ b/packages/vm/src/testing/memoryPeers.ts
@@ -5,7 +5,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
 import { VmDescription } from "@vanillarouter/base/vmDescription";
-import { OwnerLink } from "@vanillarouter/routing/ownerLink";
+import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
 import { Err, Ok, Result } from "ts-results";
 import { Diagnostics } from "../diagnostics";
 import { GroupExchange } from "../groupExchange";
