--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,11 +1,11 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**"] },
+    { ignores: ["**/dist/**", "**/node_modules/**", "target/**"] },
     ...tseslint.configs.recommended,
     ...tseslint.configs.stylistic,
     {
-        files: ["packages/**/*.ts"],
+        files: ["packages/**/*.ts", "platform/**/*.ts"],
         rules: {
             "@typescript-eslint/no-empty-function": "off",
             "@typescript-eslint/no-non-null-assertion": "off",
@@ -34,7 +34,7 @@
         rules: { "@typescript-eslint/no-require-imports": "off" },
     },
     {
-        files: ["packages/**/*.test.ts"],
+        files: ["packages/**/*.test.ts", "platform/**/*.test.ts"],
         rules: { "max-lines-per-function": "off" },
     },
 );
