--- a/packages/session/src/model/commandKind.ts
+++ b/packages/session/src/model/commandKind.ts
@@ -10,8 +10,6 @@
     Status,
     /** Stop receiving entries of terms below the given one. */
     Fence,
-    /** Lift a fence. */
-    Unfence,
     /** Become a replica if the own term is lower than the given one. */
     Demote,
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -271,7 +271,6 @@
     }
 
     private wakeWaiters(): void {
-        const rank = this.queue.firstRank;
-        if (rank !== undefined) this.queue.wakeFirst(undefined);
+        this.queue.wakeFirst(undefined);
     }
 }
--- a/packages/session/src/upstream/waitQueue.ts
+++ b/packages/session/src/upstream/waitQueue.ts
@@ -19,10 +19,6 @@
         return this.waiters.length;
     }
 
-    public get firstRank(): number | undefined {
-        return this.waiters[0]?.rank;
-    }
-
     /** Adds a waiter. The returned function removes it. */
     public add(rank: number, wake: (value: T) => void): () => void {
         const waiter: Waiter<T> = { rank, order: this.order++, wake };
