End a start without its listeners, restart background tasks, send no outdated promotion

Every address of the settings that cannot be bound now ends the program with code 1813 and exit code 3 (main.e2e.test). - an entry with port 70000 made connect throw. The statement, and the watcher of the group, ended with it for good. Addresses, names and slots are validated (codec.test), and background tasks start again after a failure (taskGroup.test). - a promotion was sent on a connection that was opened after the claim was checked. A VM that was suspended in between sent an order whose claim another VM had taken. The claim is checked once more on the open connection (platformPromoter.test). - a stopping gateway accepted relayed statements until it exited. It declines them from 1.2 s on, so none is in flight at the exit (vmProgram.e2e.test). All of these tests fail without the change.

--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -33,21 +33,21 @@
 
     private constructor(
         private readonly cluster: ClusterState,
-        private readonly isIsolated: (service: string) => boolean,
+        private readonly declinesService: (service: string) => boolean,
         private readonly executor: OperationExecutor,
         private readonly changeLog: ChangeLog,
         private readonly clock: Clock,
     ) {}
 
-    /** `isIsolated` returns whether this VM reaches too few upstreams of a service to run statements there. */
+    /** `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit. */
     public static create(
         cluster: ClusterState,
-        isIsolated: (service: string) => boolean,
+        declinesService: (service: string) => boolean,
         executor: OperationExecutor,
         changeLog: ChangeLog,
         clock: Clock,
     ): RelayRequestHandler {
-        return new RelayRequestHandler(cluster, isIsolated, executor, changeLog, clock);
+        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock);
     }
 
     /** Number of transactions that are open for the entry VM. */
@@ -57,7 +57,7 @@
 
     /** Whether this VM accepts new work for the service. */
     public acceptsService(service: string): boolean {
-        return this.cluster.gateways.isGateway(service) && !this.isIsolated(service);
+        return this.cluster.gateways.isGateway(service) && !this.declinesService(service);
     }
 
     public *run(message: RunRequest): Operation<RelayResponse> {
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -25,7 +25,6 @@
 export class RelayServer {
     private readonly links = new Set<EntryLink>();
     private runningCalls = 0;
-    private server: Server | undefined;
 
     private constructor(
         private readonly clock: Clock,
@@ -38,11 +37,10 @@
         return new RelayServer(clock, tasks, log, createRequestHandler);
     }
 
-    public listen(host: string, port: number): void {
-        this.server = createServer(socket => this.tasks.start(this.serve(socket)));
-        this.server.on("error", err => this.log.error({ host, port, err: err.message }, "relay.unavailable"));
-        this.server.listen({ host, port, backlog: 512 });
+    /** Creates the server that accepts the links of entry VMs. */
+    public createServer(): Server {
         this.tasks.start(this.closeSilentLinks());
+        return createServer(socket => this.tasks.start(this.serve(socket)));
     }
 
     /** Number of calls in progress and of transactions held open for entry VMs. */
@@ -55,10 +53,6 @@
         for (const { handler } of this.links) handler.rollBackAll();
     }
 
-    public close(): void {
-        this.server?.close();
-    }
-
     private *serve(socket: Socket): Operation<void> {
         const lineSocket = LineSocket.create(socket, RelayLimits.maxMessageBytes);
         const handler = this.createRequestHandler();
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -15,7 +15,7 @@
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { DecisionLog } from "@vanillarouter/session/observability/decisionLog";
 import * as bunyan from "bunyan";
-import { connect, createServer, Server, Socket } from "node:net";
+import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
 import { ChangeFollower } from "../changeFollower";
 import { ChangeLog } from "../changeLog";
 import { RelayExecutor } from "../relayExecutor";
@@ -32,6 +32,7 @@
     readonly executor: FakeExecutor;
     readonly server: RelayServer;
     readonly proxy: Server;
+    readonly listener: Server;
     readonly sockets: Set<Socket>;
     /** While true, the proxy drops the bytes of both directions. */
     isSilent: boolean;
@@ -110,36 +111,37 @@
     public close(): void {
         Task.start(this.tasks.cancelAll());
         for (const gateway of this.gateways) {
-            gateway.server.close();
+            gateway.listener.close();
             this.kill(gateway.id);
         }
     }
 
     private async addGateway(id: string, zone: string): Promise<void> {
         const executor = FakeExecutor.create(id);
-        const serverPort = await this.findFreePort();
-        const self: MemberEntry = { id, zone, relayAddress: `${host}:${serverPort}`, isLeaving: false };
+        const changeLog = ChangeLog.create(this.clock);
+        const self: MemberEntry = { id, zone, relayAddress: undefined, isLeaving: false };
         const cluster = ClusterState.create(self, this.clock);
+        const server = RelayServer.create(
+            this.clock,
+            this.tasks,
+            this.log,
+            () => RelayRequestHandler.create(cluster, () => gateway.declines, executor, changeLog, this.clock),
+        );
+        const listener = server.createServer();
         const gateway: TestGateway = {
             id,
             executor,
-            server: RelayServer.create(
-                this.clock,
-                this.tasks,
-                this.log,
-                () => RelayRequestHandler.create(cluster, () => gateway.declines, executor, gateway.changeLog, this.clock),
-            ),
-            proxy: createServer(socket => this.forward(gateway, socket, serverPort)),
+            server,
+            proxy: createServer(socket => this.forward(gateway, socket, getPort(listener))),
+            listener,
             sockets: new Set(),
             isSilent: false,
             declines: false,
-            changeLog: ChangeLog.create(this.clock),
+            changeLog,
         };
-        gateway.server.listen(host, serverPort);
-        await new Promise<void>(resolve => gateway.proxy.listen(0, host, resolve));
-        const { port } = gateway.proxy.address() as { readonly port: number; };
+        for (const opened of [listener, gateway.proxy]) await new Promise<void>(resolve => opened.listen(0, host, resolve));
         this.gateways.push(gateway);
-        this.cluster.putMember({ ...self, relayAddress: `${host}:${port}` });
+        this.cluster.putMember({ ...self, relayAddress: `${host}:${getPort(gateway.proxy)}` });
     }
 
     private forward(gateway: TestGateway, socket: Socket, serverPort: number): void {
@@ -151,12 +153,8 @@
             from.on("close", () => to.destroy());
         }
     }
+}
 
-    private async findFreePort(): Promise<number> {
-        const server = createServer();
-        await new Promise<void>(resolve => server.listen(0, host, resolve));
-        const { port } = server.address() as { readonly port: number; };
-        await new Promise(resolve => server.close(resolve));
-        return port;
-    }
+function getPort(server: Server): number {
+    return (server.address() as AddressInfo).port;
 }
--- a/packages/session/src/diagnostics.ts
+++ b/packages/session/src/diagnostics.ts
@@ -15,5 +15,6 @@
     transactionFailed: createDiagnostic(1809, "the transaction has failed; end it", "Send ROLLBACK."),
     notConfigured: createDiagnostic(1811, "the VM has no configuration yet", "Reconnect; another VM may be configured."),
     noGateway: createDiagnostic(1812, "no VM with connections to {0} could be reached", "Reconnect; another VM may be able to reach one."),
+    addressNotBound: createDiagnostic(1813, "cannot listen on {0}: {1}", "Check the address in the settings and that no other process uses the port."),
     upstreamFailed: createDiagnostic(1810, "the upstream answered: {0}", "See the log of the upstream."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -67,12 +67,13 @@
             this.context.log.warn({ service, term, silent: unresponsive.map(report => report.pool.upstream.id) }, "promotion.fence-incomplete");
             return false;
         }
-        if (this.context.suspension.check() !== generation || this.context.clock.now() - startedAt > claimValidMs) {
+        const isClaimValid = (): boolean => this.context.suspension.check() === generation && this.context.clock.now() - startedAt <= claimValidMs;
+        if (!isClaimValid()) {
             this.context.log.warn({ service, term, elapsedMs: Math.round(this.context.clock.now() - startedAt) }, "promotion.claim-expired");
             return false;
         }
         this.recordPhase("fenced", startedAt);
-        const accepted = yield* this.context.promoter.promote(service, candidate.pool.upstream.id, fenceToken);
+        const accepted = yield* this.context.promoter.promote(service, candidate.pool.upstream.id, fenceToken, isClaimValid);
         this.context.log.info(
             { service, upstream: candidate.pool.upstream.id, received: candidate.status?.received, term, fenceToken, accepted },
             "promotion.requested",
