Keep the running work of a gateway that is silent, and call an unclear COMMIT unknown

A gateway that was silent for 0.6 s, as when it is frozen or short of processor time, had its link closed: its transactions were rolled back and its writes reported as unknown, although it still ran them. Now a silent gateway gets no new work, reads move to another gateway, and writes and transactions wait for their own timeouts. The link is closed after 3.5 s, when the gateway gives up too.

A COMMIT that an upstream answered with a code that says nothing about its run was reported as rolled back. Only the codes with which upstreams refuse a statement allow that now.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -43,7 +43,7 @@
         if (this.watchers.includesSelf) return undefined;
         for (const watcher of this.listUsable().slice(0, maxAttempts)) {
             const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
-            const response = yield* link?.exchange(longPollMs + responseMarginMs, call => ({ kind: "follow", call, after, waitMs: longPollMs }))
+            const response = yield* link?.poll(longPollMs + responseMarginMs, call => ({ kind: "follow", call, after, waitMs: longPollMs }))
                 ?? noResponse();
             if (response?.kind === "changes") return yield* this.readLargeItems(response);
             this.avoidedUntil.set(watcher.id, this.clock.now() + avoidanceMs);
--- a/packages/relay/src/relayExecutor.ts
+++ b/packages/relay/src/relayExecutor.ts
@@ -13,6 +13,7 @@
 import { RelayedTransaction } from "./relayedTransaction";
 import { RelayGateway } from "./relayGateway";
 import { RelayLimits } from "./relayLimits";
+import { RelayRequest } from "./relayRequest";
 import { RelayResponse } from "./relayResponse";
 
 /** Runs the operations of an entry VM through gateways. */
@@ -37,7 +38,9 @@
                 continue;
             }
             const requestFields = describeOperation(req, statement, clock.now());
-            const response = yield* link.call(deadline + RelayLimits.responseMarginMs - clock.now(), call => ({ kind: "run", call, ...requestFields }));
+            const createRequest = (call: number): RelayRequest => ({ kind: "run", call, ...requestFields });
+            const timeoutMs = deadline + RelayLimits.responseMarginMs - clock.now();
+            const response = yield* req.readOnly ? link.callRepeatable(timeoutMs, createRequest) : link.call(timeoutMs, createRequest);
             const outcome = this.completeCall(req, statement, gateway, startedAt, response);
             if (outcome !== undefined) return outcome;
         }
--- a/packages/relay/src/relayGateway.ts
+++ b/packages/relay/src/relayGateway.ts
@@ -47,9 +47,10 @@
         return this.link?.activeCalls ?? 0;
     }
 
-    /** Whether the gateway cannot be reached or its last call for the service failed. A successful check resets this. */
+    /** Whether the gateway cannot be reached, is silent, or its last call for the service failed. A successful check resets the latter. */
     public hasFailed(service: string): boolean {
-        return this.lastOpenFailed || this.failedServiceNames.has(service);
+        const isSilent = this.isLinked && !this.link!.isResponsive;
+        return this.lastOpenFailed || isSilent || this.failedServiceNames.has(service);
     }
 
     /** Whether the last attempt to open a link failed. */
--- a/packages/relay/src/relayLimits.ts
+++ b/packages/relay/src/relayLimits.ts
@@ -13,7 +13,7 @@
     maxInlineTextLength: 8_192,
     /** An entry VM that waits for a response or has a transaction open sends a message at least this often. */
     pingIntervalMs: 1_000,
-    /** A gateway closes a link with open transactions, and rolls these back, after this time without a message. */
+    /** A gateway closes a link with open transactions, and rolls these back, after this time without a message. An entry VM then closes it too. */
     transactionSilenceMs: 3_500,
     /** A gateway closes a link without open transactions after this time without a message. */
     idleSilenceMs: 30_000,
--- a/packages/relay/src/relayLink.ts
+++ b/packages/relay/src/relayLink.ts
@@ -2,6 +2,8 @@
 import { LineSocket } from "@vanillarouter/base/lineSocket";
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
+import { race } from "@vanillarouter/base/race";
+import { Signal } from "@vanillarouter/base/signal";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { decodeMessage } from "./decodeMessage";
 import { encodeMessage } from "./encodeMessage";
@@ -12,14 +14,19 @@
 
 /** A gateway that has sent nothing for this time while calls are active is pinged. */
 const pingAfterSilenceMs = 150;
-/** A gateway responds to a ping within milliseconds; one that is silent for this long while calls are active is cut off or frozen. */
-const callSilenceTimeoutMs = 600;
-/** Timeout for a silent gateway while only long polls are open. It is longer because long polls delay no caller. */
-const longPollSilenceTimeoutMs = 2_500;
+/** A gateway responds to a ping within milliseconds; one that is silent for this long while calls are active is cut off, frozen or very slow. */
+const callSilenceMs = 600;
+/** The same while only long polls are open. It is longer because long polls delay no caller. */
+const longPollSilenceMs = 2_500;
 
 type CallResponse = Extract<RelayResponse, { readonly call: number; }>;
 
-/** The entry VM's end of the connection to one gateway, shared by the calls of many sessions. */
+/**
+ * The entry VM's end of the connection to one gateway, shared by the calls of many sessions.
+ *
+ * A silent gateway gets no new work, but may still be running what it has: a link is closed only after so long that the
+ * gateway has given up its transactions too. Until then writes wait for their responses, each up to its own timeout.
+ */
 export class RelayLink {
     private readonly responseHandlers = new Map<number, (response: CallResponse | undefined) => void>();
     /** Number of calls that delay a caller, which excludes long polls. */
@@ -31,6 +38,8 @@
     /** Time of the latest message from the gateway, or of the moment since which this VM has been waiting for one. */
     private silentSince: number;
     private lastSentAt: number;
+    private isSilent = false;
+    private readonly fellSilent = Signal.create<undefined>();
 
     private constructor(private readonly socket: LineSocket, private readonly clock: Clock) {
         this.silentSince = clock.now();
@@ -46,6 +55,11 @@
         return this.socket.isOpen;
     }
 
+    /** Whether the link is open and the gateway has not been silent for too long to get new work. */
+    public get isResponsive(): boolean {
+        return this.isOpen && !this.isSilent;
+    }
+
     /** Number of calls that wait for their responses, without long polls. */
     public get activeCalls(): number {
         return this.activeCallCount;
@@ -69,26 +83,33 @@
             const response = decodeMessage(relayResponseSchema, line);
             if (response === undefined) return this.close();
             this.silentSince = this.clock.now();
+            this.isSilent = false;
             if (response.kind !== "pong") this.responseHandlers.get(response.call)?.(response);
         }
     }
 
     /**
-     * Closes the link if the gateway is silent. Pings the gateway if it may have become silent, or if this VM has a call or a
-     * transaction open and has sent nothing for a while, since gateways close silent links. `RelayGateways` calls this periodically.
+     * Notices a silent gateway, and closes the link after a long silence. Pings the gateway if it may be silent, or if this VM
+     * has a call or a transaction open and has sent nothing for a while, since gateways close silent links. `RelayGateways` calls
+     * this periodically.
      */
     public checkLiveness(): void {
         const now = this.clock.now();
-        if (this.responseHandlers.size === 0) this.silentSince = now;
-        if (now - this.silentSince > (this.activeCallCount > 0 ? callSilenceTimeoutMs : longPollSilenceTimeoutMs)) return this.close();
-        const needsLivenessPing = this.activeCallCount > 0 && now - this.silentSince > pingAfterSilenceMs;
+        if (this.responseHandlers.size === 0 && !this.isSilent) this.silentSince = now;
+        const silentMs = now - this.silentSince;
+        if (silentMs > RelayLimits.transactionSilenceMs) return this.close();
+        if (!this.isSilent && silentMs > (this.activeCallCount > 0 ? callSilenceMs : longPollSilenceMs)) {
+            this.isSilent = true;
+            this.fellSilent.notifyAll(undefined);
+        }
+        const needsLivenessPing = this.isSilent || (this.activeCallCount > 0 && silentMs > pingAfterSilenceMs);
         const needsKeepAlive = this.responseHandlers.size + this.openTransactionCount > 0 && now - this.lastSentAt > RelayLimits.pingIntervalMs;
         if (needsLivenessPing || needsKeepAlive) this.send({ kind: "ping" });
     }
 
     /** Sends a request and waits for its response. Returns undefined if none arrives in time; the request may have been executed then. */
     public *call(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
-        if (this.activeCallCount++ === 0) this.silentSince = this.clock.now();
+        if (this.activeCallCount++ === 0 && !this.isSilent) this.silentSince = this.clock.now();
         try {
             return yield* this.exchange(timeoutMs, createRequest);
         }
@@ -97,8 +118,20 @@
         }
     }
 
-    /** Like `call`, but does not count as an active call; for long polls, whose response comes late if nothing changes. */
-    public *exchange(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
+    /** Like `call`, but also returns undefined as soon as the gateway falls silent; for requests that another gateway can repeat. */
+    public *callRepeatable(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
+        return yield* race<CallResponse | undefined>([this.call(timeoutMs, createRequest), this.fellSilent.wait()]);
+    }
+
+    /**
+     * Sends a long poll, whose response comes late if nothing changes, so it does not count as an active call. Returns undefined
+     * if no response arrives in time, or as soon as the gateway falls silent.
+     */
+    public *poll(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
+        return yield* race<CallResponse | undefined>([this.exchange(timeoutMs, createRequest), this.fellSilent.wait()]);
+    }
+
+    private *exchange(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
         if (!this.isOpen) return undefined;
         const call = ++this.lastCallNumber;
         try {
--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -21,6 +21,22 @@
     assert.equal(outcome.error, ErrorKind.UnknownOutcome);
 });
 
+// Guards against "rolled back" for a commit that the upstream answered with an error that does not say whether it ran.
+test("a commit that is answered with an unknown error has an unknown outcome if the transaction wrote", () => {
+    for (
+        const [error, expected] of [[ErrorKind.UnknownOutcome, ErrorKind.UnknownOutcome], [ErrorKind.Other, ErrorKind.UnknownOutcome], [
+            ErrorKind.ReadOnly,
+            ErrorKind.Aborted,
+        ]] as const
+    ) {
+        const bed = TestBed.create();
+        const transaction = createTransaction(bed);
+        bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1")));
+        bed.fakeGroup.find("u1").nextErrors = [error];
+        assert.equal(bed.run(transaction.commit(bed.createStatement("s2", StatementKind.Commit, "COMMIT"))).error, expected);
+    }
+});
+
 // Guards against an unclear outcome before COMMIT: the caller can repeat the transaction, because it was certainly rolled back.
 test("a transaction that lost its connection before COMMIT is reported as rolled back", () => {
     const bed = TestBed.create();
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -20,6 +20,16 @@
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
 
+/** Errors with which an upstream refuses a statement that it did not run. After any other error to a COMMIT the outcome is unknown. */
+const refusalKinds: ReadonlySet<ErrorKind> = new Set([
+    ErrorKind.Busy,
+    ErrorKind.Lagging,
+    ErrorKind.ReadOnly,
+    ErrorKind.Aborted,
+    ErrorKind.NoStatement,
+    ErrorKind.Malformed,
+]);
+
 /** A caller's transaction. It begins on an upstream with its first statement and keeps that connection until it ends. */
 export class OpenTransaction implements CallerTransaction {
     private placement: { readonly target: Target; readonly connection: UpstreamConnection; } | undefined;
@@ -123,7 +133,7 @@
     private abort(response: UpstreamResponse | undefined, isCommit = false): StatementOutcome {
         this.suspectPrimary(response);
         this.discardConnection();
-        const mayHaveCommitted = isCommit && (response?.error === ErrorKind.Failed || response?.error === ErrorKind.TimedOut);
+        const mayHaveCommitted = isCommit && (response?.error === undefined || !refusalKinds.has(response.error));
         if (mayHaveCommitted && this.hasWritten) return createFailedOutcome(ErrorKind.UnknownOutcome, Diagnostics.outcomeUnknown);
         return createFailedOutcome(ErrorKind.Aborted, Diagnostics.transactionLost, response?.errorText ?? "no response");
     }
