--- a/packages/session/src/cluster/clusterState.test.ts
+++ b/packages/session/src/cluster/clusterState.test.ts
@@ -44,6 +44,7 @@
 test("an upstream gets no new work after it has been leaving for five seconds", () => {
     const clock = ManualClock.create();
     const cluster = ClusterState.create(own, clock);
+    cluster.putUpstream(upstream);
     cluster.putUpstream({ ...upstream, isLeaving: true });
     clock.advance(3_000);
     cluster.putUpstream({ ...upstream, isLeaving: true });
@@ -53,3 +54,21 @@
     cluster.putUpstream(upstream);
     assert.equal(cluster.isLeavingGraceOver("u1"), false);
 });
+
+// Guards against a VM that was restarted and uses an upstream that has been leaving for a long time as if it had just begun to leave.
+test("an upstream that was leaving before this VM saw it soon gets no new work", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create(own, clock);
+    cluster.putUpstream({ ...upstream, isLeaving: true });
+    clock.advance(1_600);
+    assert.equal(cluster.isLeavingGraceOver("u1"), true);
+});
+
+// Guards against work on an upstream that has left, during the grace period that is meant for entries that expire in an outage of the store.
+test("a leaving upstream is dropped as soon as its entry is removed", () => {
+    const cluster = ClusterState.create(own, ManualClock.create());
+    cluster.putUpstream(upstream);
+    cluster.putUpstream({ ...upstream, isLeaving: true });
+    cluster.removeUpstream("u1");
+    assert.equal(cluster.findUpstream("u1"), undefined);
+});
--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -12,6 +12,8 @@
 const missingMemberGraceMs = 5_000;
 /** A leaving primary is used until its successor is promoted, but no longer than this. The platform's limit is 7 s. */
 const leavingGraceMs = 5_000;
+/** The same for an upstream that was already leaving when this VM first saw it, as after a restart: how long ago it began to leave is not known. */
+const unknownLeavingGraceMs = 1_500;
 
 /** This VM's view of the configuration, the upstreams and the other VMs. */
 export class ClusterState {
@@ -19,7 +21,8 @@
     public readonly topologyChanged = Signal.create<void>();
     /** Wakes tasks that wait for a configuration. */
     public readonly configurationChanged = Signal.create<void>();
-    private readonly leavingSince = new Map<string, number>();
+    /** Local time in milliseconds from which a leaving upstream gets no new work. */
+    private readonly leavingGraceEnds = new Map<string, number>();
     private currentConfiguration: RoutingConfiguration | undefined;
     private appliedAt = 0;
     private readonly upstreams = new Map<string, UpstreamEntry>();
@@ -108,28 +111,42 @@
 
     /** Whether an upstream has been leaving for so long that it must get no new work. */
     public isLeavingGraceOver(id: string): boolean {
-        const since = this.leavingSince.get(id);
-        return since !== undefined && this.clock.now() - since > leavingGraceMs;
+        const graceEnd = this.leavingGraceEnds.get(id);
+        return graceEnd !== undefined && this.clock.now() > graceEnd;
     }
 
     private trackLeaving(upstream: UpstreamEntry): void {
-        if (!upstream.isLeaving) this.leavingSince.delete(upstream.id);
-        else if (!this.leavingSince.has(upstream.id)) this.leavingSince.set(upstream.id, this.clock.now());
+        if (!upstream.isLeaving) {
+            this.leavingGraceEnds.delete(upstream.id);
+            return;
+        }
+        if (this.leavingGraceEnds.has(upstream.id)) return;
+        const graceMs = this.upstreams.has(upstream.id) ? leavingGraceMs : unknownLeavingGraceMs;
+        this.leavingGraceEnds.set(upstream.id, this.clock.now() + graceMs);
     }
 
-    /** Marks an upstream as missing. It stays in use until `dropMissing` drops it, unless it is listed again before. */
+    /**
+     * Marks an upstream as missing. It stays in use until `dropMissing` drops it, unless it is listed again before. One that was
+     * leaving has left, so it is dropped at once.
+     */
     public removeUpstream(id: string): void {
-        if (this.upstreams.has(id) && !this.upstreamsMissingSince.has(id)) this.upstreamsMissingSince.set(id, this.clock.now());
+        const upstream = this.upstreams.get(id);
+        if (upstream?.isLeaving === true) this.dropUpstream(id);
+        else if (upstream !== undefined && !this.upstreamsMissingSince.has(id)) this.upstreamsMissingSince.set(id, this.clock.now());
+    }
+
+    private dropUpstream(id: string): void {
+        this.upstreamsMissingSince.delete(id);
+        this.upstreams.delete(id);
+        this.leavingGraceEnds.delete(id);
+        this.notifyChange();
     }
 
     /** Drops the upstreams and members that have been missing for too long. Must be called several times a second. */
     public dropMissing(): void {
         for (const [id, since] of this.upstreamsMissingSince) {
             if (this.clock.now() - since < missingUpstreamGraceMs) continue;
-            this.upstreamsMissingSince.delete(id);
-            this.upstreams.delete(id);
-            this.leavingSince.delete(id);
-            this.notifyChange();
+            this.dropUpstream(id);
         }
         for (const [id, since] of this.membersMissingSince) {
             if (this.clock.now() - since < missingMemberGraceMs) continue;
