Move the scheduling decisions into a package of their own

The slot scheduler, ordinary shares and wait estimates of the MySQL side are wanted on the platform's side too, which must not depend on the routing package. No change of behaviour; codes 1204 and 1205 move along.

--- a/packages/routing/src/diagnostics.ts
+++ b/packages/routing/src/diagnostics.ts
@@ -10,8 +10,6 @@
         "database group {0} has no primary",
         "Wait for the failover; if a majority of its upstreams is unreachable, restore one.",
     ),
-    deadlineNotFeasible: createDiagnostic(1204, "the target of {0} ms cannot be met any more", "Retry later; the system is overloaded."),
-    shareExceeded: createDiagnostic(1205, "class {0} exceeds its ordinary share during an overload", "Retry later or reduce the load of this class."),
     notFreshEnough: createDiagnostic(1206, "no upstream of {0} has data proven younger than {1} ms", "Retry, or allow older data for this class."),
     floorNotApplied: createDiagnostic(1207, "upstream {0} has not applied entry {1} yet", "Retried by the entry VM on another upstream."),
     outcomeUnknown: createDiagnostic(
--- a/packages/routing/src/entry/callerTransaction.ts
+++ b/packages/routing/src/entry/callerTransaction.ts
@@ -4,6 +4,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Diagnostics as SchedulingDiagnostics } from "@vanillarouter/scheduling/diagnostics";
 import { Err, Result } from "ts-results";
 import { Diagnostics } from "../diagnostics";
 import { KnownPrimary } from "../group/knownPrimary";
@@ -22,8 +23,8 @@
 /** Failures of a statement after which its transaction stays open, as in a MySQL server. */
 const nonAbortingCodes: ReadonlySet<number> = new Set([
     Diagnostics.statementRejected.code,
-    Diagnostics.deadlineNotFeasible.code,
-    Diagnostics.shareExceeded.code,
+    SchedulingDiagnostics.deadlineNotFeasible.code,
+    SchedulingDiagnostics.shareExceeded.code,
 ]);
 
 /**
--- a/packages/routing/src/entry/entryReads.ts
+++ b/packages/routing/src/entry/entryReads.ts
@@ -12,7 +12,8 @@
 import { PrimaryClient } from "../group/primaryClient";
 import { OwnerResponse } from "../owner/ownerResponse";
 import { waitWithLimits } from "../owner/waitWithLimits";
-import { computeReturnMargin } from "../scheduling/computeReturnMargin";
+import { computeReturnMargin } from "@vanillarouter/scheduling/computeReturnMargin";
+import { Diagnostics as SchedulingDiagnostics } from "@vanillarouter/scheduling/diagnostics";
 import { AdmittedRequest } from "./admittedRequest";
 import { EntryContext } from "./entryContext";
 import { SessionFloors } from "./sessionFloors";
@@ -34,8 +35,8 @@
 /** Refusals that do not indicate a fault of the upstream. */
 const refusalCodes: ReadonlySet<number> = new Set([
     Diagnostics.statementRejected.code,
-    Diagnostics.deadlineNotFeasible.code,
-    Diagnostics.shareExceeded.code,
+    SchedulingDiagnostics.deadlineNotFeasible.code,
+    SchedulingDiagnostics.shareExceeded.code,
 ]);
 
 /** The floor of a read, and the time since which this VM has known it. */
--- a/packages/routing/src/group/primaryClient.ts
+++ b/packages/routing/src/group/primaryClient.ts
@@ -8,7 +8,8 @@
 import { AdmittedRequest } from "../entry/admittedRequest";
 import { EntryContext } from "../entry/entryContext";
 import { waitWithLimits } from "../owner/waitWithLimits";
-import { computeReturnMargin } from "../scheduling/computeReturnMargin";
+import { computeReturnMargin } from "@vanillarouter/scheduling/computeReturnMargin";
+import { Diagnostics as SchedulingDiagnostics } from "@vanillarouter/scheduling/diagnostics";
 import { KnownPrimary } from "./knownPrimary";
 
 /** Interval at which a call in flight checks whether its primary or owner has changed, in milliseconds. */
@@ -22,8 +23,8 @@
 const finalCodes: ReadonlySet<number> = new Set([
     Diagnostics.unknownClass.code,
     Diagnostics.unknownGroup.code,
-    Diagnostics.deadlineNotFeasible.code,
-    Diagnostics.shareExceeded.code,
+    SchedulingDiagnostics.deadlineNotFeasible.code,
+    SchedulingDiagnostics.shareExceeded.code,
     Diagnostics.requestCancelled.code,
     Diagnostics.readOnlyClass.code,
     Diagnostics.transactionLost.code,
--- a/packages/routing/src/owner/ownerContext.ts
+++ b/packages/routing/src/owner/ownerContext.ts
@@ -4,7 +4,7 @@
 import { WriteConfirmation } from "../freshness/writeConfirmation";
 import { GroupDirectory } from "../group/groupDirectory";
 import { UpstreamControl } from "../group/upstreamControl";
-import { SlotScheduler } from "../scheduling/slotScheduler";
+import { SlotScheduler } from "@vanillarouter/scheduling/slotScheduler";
 import { StatementRunner } from "./statementRunner";
 import { UpstreamWatch } from "./upstreamWatch";
 
--- a/packages/routing/src/owner/ownerHost.ts
+++ b/packages/routing/src/owner/ownerHost.ts
@@ -11,7 +11,7 @@
 import { TransactionEndRequest } from "../entry/transactionEndRequest";
 import { TransactionStatement } from "../entry/transactionStatement";
 import { ConfirmedPosition } from "../freshness/confirmedPosition";
-import { MeasuredShares } from "../scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 import { OwnerHostSettings } from "./ownerHostSettings";
 import { OwnerLink } from "./ownerLink";
 import { OwnerRequest } from "./ownerRequest";
--- a/packages/routing/src/owner/readExecutor.ts
+++ b/packages/routing/src/owner/readExecutor.ts
@@ -10,7 +10,7 @@
 import { FreshnessProof } from "../freshness/freshnessProof";
 import { FreshnessProver } from "../freshness/freshnessProver";
 import { UpstreamResponse } from "../group/upstreamResponse";
-import { SlotRequest } from "../scheduling/slotRequest";
+import { SlotRequest } from "@vanillarouter/scheduling/slotRequest";
 import { OwnerContext } from "./ownerContext";
 import { OwnerRequest } from "./ownerRequest";
 
--- a/packages/routing/src/owner/transactionExecutor.ts
+++ b/packages/routing/src/owner/transactionExecutor.ts
@@ -10,7 +10,7 @@
 import { TransactionStatement } from "../entry/transactionStatement";
 import { UpstreamResponse } from "../group/upstreamResponse";
 import { OutcomeResolver } from "../outcomes/outcomeResolver";
-import { SlotRequest } from "../scheduling/slotRequest";
+import { SlotRequest } from "@vanillarouter/scheduling/slotRequest";
 import { ConnectionPool } from "./connectionPool";
 import { OpenTransaction } from "./openTransaction";
 import { OwnerContext } from "./ownerContext";
--- a/packages/routing/src/owner/upstreamOwnerSettings.ts
+++ b/packages/routing/src/owner/upstreamOwnerSettings.ts
@@ -6,7 +6,7 @@
 import { UpstreamSettings } from "@vanillarouter/base/upstreamSettings";
 import { GroupDirectory } from "../group/groupDirectory";
 import { UpstreamConnector } from "../group/upstreamConnector";
-import { MeasuredShares } from "../scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 import { OwnerDirectory } from "./ownerDirectory";
 
 /** Settings and dependencies of the owner of an upstream. */
--- a/packages/routing/src/owner/writeExecutor.ts
+++ b/packages/routing/src/owner/writeExecutor.ts
@@ -7,8 +7,8 @@
 import { Diagnostics } from "../diagnostics";
 import { UpstreamResponse } from "../group/upstreamResponse";
 import { OutcomeResolver } from "../outcomes/outcomeResolver";
-import { DecayingMean } from "../scheduling/decayingMean";
-import { SlotRequest } from "../scheduling/slotRequest";
+import { DecayingMean } from "@vanillarouter/scheduling/decayingMean";
+import { SlotRequest } from "@vanillarouter/scheduling/slotRequest";
 import { OwnerContext } from "./ownerContext";
 import { OwnerRequest } from "./ownerRequest";
 
--- a/packages/routing/src/testing/fakeOwnedGroup.ts
+++ b/packages/routing/src/testing/fakeOwnedGroup.ts
@@ -8,6 +8,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { sleep } from "@vanillarouter/base/sleep";
 import { StatementResult } from "@vanillarouter/base/statementResult";
+import { Diagnostics as SchedulingDiagnostics } from "@vanillarouter/scheduling/diagnostics";
 import { Err, Ok, Result } from "ts-results";
 import { Diagnostics } from "../diagnostics";
 import { StatementKind } from "../entry/statementKind";
@@ -103,7 +104,7 @@
         const fault = this.nextFault();
         yield* sleep(this.clock, roundTripMs / 2);
         if (fault === FakeFault.Refuse) return Err(createFailure(Diagnostics.linkFailed, RunOutcome.DidNotRun, "vm", "refused"));
-        if (fault === FakeFault.Shed) return Err(createFailure(Diagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, req.timeoutMs));
+        if (fault === FakeFault.Shed) return Err(createFailure(SchedulingDiagnostics.deadlineNotFeasible, RunOutcome.DidNotRun, req.timeoutMs));
         if (fault === FakeFault.LoseRequest) return this.createResponseLostFailure();
         if (fault === FakeFault.RunLate) {
             this.clock.startTimer(lateRunDelayMs, () => this.run(req));
--- a/packages/routing/src/scheduling/refusalCache.ts
+++ b/packages/scheduling/src/refusalCache.ts
@@ -2,7 +2,7 @@
 import { Failure } from "@vanillarouter/base/failure";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Err } from "ts-results";
-import { Diagnostics } from "../diagnostics";
+import { Diagnostics } from "./diagnostics";
 import { SlotTicket } from "./slotTicket";
 
 /** Number of refusals kept for reuse. */
--- a/packages/routing/src/scheduling/slotScheduler.test.ts
+++ b/packages/scheduling/src/slotScheduler.test.ts
@@ -9,7 +9,7 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { Result } from "ts-results";
-import { FifoScheduler } from "../testing/fifoScheduler";
+import { FifoScheduler } from "./testing/fifoScheduler";
 import { SlotRequest } from "./slotRequest";
 import { SlotScheduler } from "./slotScheduler";
 import { StatementScheduler } from "./statementScheduler";
--- a/packages/routing/src/testing/fifoScheduler.ts
+++ b/packages/scheduling/src/testing/fifoScheduler.ts
@@ -2,8 +2,8 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { Signal } from "@vanillarouter/base/signal";
 import { Ok, Result } from "ts-results";
-import { SlotRequest } from "../scheduling/slotRequest";
-import { StatementScheduler } from "../scheduling/statementScheduler";
+import { SlotRequest } from "../slotRequest";
+import { StatementScheduler } from "../statementScheduler";
 
 /** A FIFO scheduler with an unbounded queue, the baseline for `SlotScheduler`. */
 export class FifoScheduler implements StatementScheduler {
--- a/packages/routing/src/testing/overloadExperiment.ts
+++ b/packages/scheduling/src/testing/overloadExperiment.ts
@@ -3,8 +3,8 @@
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
-import { SlotRequest } from "../scheduling/slotRequest";
-import { StatementScheduler } from "../scheduling/statementScheduler";
+import { SlotRequest } from "../slotRequest";
+import { StatementScheduler } from "../statementScheduler";
 import { ExperimentClass } from "./experimentClass";
 import { ExperimentCounts } from "./experimentCounts";
 
--- a/packages/routing/src/testing/overloadExperimentMain.ts
+++ b/packages/scheduling/src/testing/overloadExperimentMain.ts
@@ -1,7 +1,7 @@
 import { ManualClock } from "@vanillarouter/base/manualClock";
 import { writeSync } from "node:fs";
-import { SlotScheduler } from "../scheduling/slotScheduler";
-import { StatementScheduler } from "../scheduling/statementScheduler";
+import { SlotScheduler } from "../slotScheduler";
+import { StatementScheduler } from "../statementScheduler";
 import { FifoScheduler } from "./fifoScheduler";
 import { OverloadExperiment } from "./overloadExperiment";
 import { OverloadScenarios } from "./overloadScenarios";
--- a/packages/vm/src/groupExchange.ts
+++ b/packages/vm/src/groupExchange.ts
@@ -1,5 +1,5 @@
 import { GroupView } from "@vanillarouter/base/groupView";
-import { MeasuredShares } from "@vanillarouter/routing/scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 
 /** Views of database groups and ordinary shares of upstreams, as exchanged between VMs. */
 export interface GroupExchange {
--- a/packages/vm/src/groupStateSync.ts
+++ b/packages/vm/src/groupStateSync.ts
@@ -8,7 +8,7 @@
 import { VmDescription } from "@vanillarouter/base/vmDescription";
 import { hashName } from "@vanillarouter/platform/hashName";
 import { GroupDirectory } from "@vanillarouter/routing/group/groupDirectory";
-import { MeasuredShares } from "@vanillarouter/routing/scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 import { GroupExchange } from "./groupExchange";
 import { mixHashes } from "./mixHashes";
 import { PeerCalls } from "./peerCalls";
--- a/packages/vm/src/links.test.ts
+++ b/packages/vm/src/links.test.ts
@@ -7,6 +7,7 @@
 import { SystemClock } from "@vanillarouter/base/systemClock";
 import { Task } from "@vanillarouter/base/task";
 import { VmDescription } from "@vanillarouter/base/vmDescription";
+import { Diagnostics as SchedulingDiagnostics } from "@vanillarouter/scheduling/diagnostics";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
 import { StatementKind } from "@vanillarouter/routing/entry/statementKind";
 import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
@@ -45,7 +46,7 @@
     public *execute(req: OwnerRequest): Operation<Result<OwnerResponse, Failure>> {
         this.executed.push(req.requestId);
         if (req.sql.startsWith("wait ")) yield* sleep(clock, Number(req.sql.slice(5)));
-        if (req.sql === "refuse") return Err(createFailure(RoutingDiagnostics.shareExceeded, RunOutcome.DidNotRun, req.className));
+        if (req.sql === "refuse") return Err(createFailure(SchedulingDiagnostics.shareExceeded, RunOutcome.DidNotRun, req.className));
         const columns = [{ name: "a", type: 253, flags: 0, length: 1, characterSet: 33 }];
         const result = { columns, rows: [[req.sql, undefined]], affectedRows: 0, insertId: 0, info: "" };
         return Ok({ requestId: req.requestId, result, at: { term: 1, position: 1 }, load });
@@ -137,7 +138,7 @@
         ]]);
         assert.equal(pool.size, 1);
         const refused = await run(link.execute(createRequest("d", "refuse", StatementKind.Write)));
-        assert.equal(refused.err && refused.val.code, RoutingDiagnostics.shareExceeded.code);
+        assert.equal(refused.err && refused.val.code, SchedulingDiagnostics.shareExceeded.code);
         assert.equal(refused.err && refused.val.outcome, RunOutcome.DidNotRun);
     }));
 
--- a/packages/vm/src/shareExchange.ts
+++ b/packages/vm/src/shareExchange.ts
@@ -1,4 +1,4 @@
-import { MeasuredShares } from "@vanillarouter/routing/scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 
 /** Provides the ordinary shares of the upstreams that this VM owns, and stores those of upstreams that it may own next. */
 export interface ShareExchange {
--- a/packages/vm/src/testing/memoryCluster.ts
+++ b/packages/vm/src/testing/memoryCluster.ts
@@ -3,7 +3,7 @@
 import { Task } from "@vanillarouter/base/task";
 import { KnownGroupViews } from "@vanillarouter/routing/group/knownGroupViews";
 import { OwnerLink } from "@vanillarouter/routing/owner/ownerLink";
-import { MeasuredShares } from "@vanillarouter/routing/scheduling/measuredShares";
+import { MeasuredShares } from "@vanillarouter/scheduling/measuredShares";
 import { VmNode } from "../vmNode";
 import { MemoryNetwork } from "./memoryNetwork";
 import { MemoryPeers } from "./memoryPeers";
