Reserve the ports of processes in tests instead of looking for free ones

A reservation is a UDP socket on the same number, below the range of ephemeral ports, so it also holds between two starts of a VM and against other test runs.

--- a/packages/bench/src/soak/soakFleet.ts
+++ b/packages/bench/src/soak/soakFleet.ts
@@ -1,4 +1,5 @@
 import { LinePlatform } from "@vanillarouter/standins/line/linePlatform";
+import { PortReservations } from "@vanillarouter/standins/portReservations";
 import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -12,6 +13,7 @@
         public readonly vms: readonly SoakVm[],
         public readonly upstreamProxies: readonly FaultProxy[],
         public readonly storeProxies: readonly FaultProxy[],
+        private readonly ports: PortReservations,
         /** Folder with the logs of the VMs. */
         public readonly folder: string,
     ) {}
@@ -26,17 +28,19 @@
         const folder = mkdtempSync(join(tmpdir(), "vanillarouter-soak-"));
         const storeProxies: FaultProxy[] = [];
         const vms: SoakVm[] = [];
+        const ports = PortReservations.create();
         for (let index = 1; index <= vmCount; index++) {
             const proxy = await FaultProxy.create(platform.store.address);
             storeProxies.push(proxy);
-            vms.push(await SoakVm.create(`vm-${index}`, `zone-${index % 3}`, proxy.address, folder));
+            vms.push(await SoakVm.create(`vm-${index}`, `zone-${index % 3}`, proxy.address, folder, ports));
         }
-        return new SoakFleet(platform, vms, upstreamProxies, storeProxies, folder);
+        return new SoakFleet(platform, vms, upstreamProxies, storeProxies, ports, folder);
     }
 
     public async close(): Promise<void> {
         await Promise.all(this.vms.map(vm => vm.close()));
         for (const proxy of [...this.upstreamProxies, ...this.storeProxies]) proxy.close();
         this.platform.close();
+        this.ports.release();
     }
 }
--- a/packages/bench/src/soak/soakVm.ts
+++ b/packages/bench/src/soak/soakVm.ts
@@ -1,7 +1,7 @@
+import { PortReservations } from "@vanillarouter/standins/portReservations";
 import { ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { closeSync, openSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { join } from "node:path";
 
 const host = "127.0.0.1";
@@ -17,8 +17,13 @@
     private constructor(public readonly id: string, public readonly callerAddress: string, private readonly folder: string) {}
 
     /** Writes the settings of a VM that connects to the store at `storeAddress`, and starts the VM. */
-    public static async create(id: string, zone: string, storeAddress: string, folder: string): Promise<SoakVm> {
-        const [callerPort, relayPort, readinessPort, metricsPort] = [await findFreePort(), await findFreePort(), await findFreePort(), await findFreePort()];
+    public static async create(id: string, zone: string, storeAddress: string, folder: string, ports: PortReservations): Promise<SoakVm> {
+        const [callerPort, relayPort, readinessPort, metricsPort] = [
+            await ports.reserve(),
+            await ports.reserve(),
+            await ports.reserve(),
+            await ports.reserve(),
+        ];
         const vm = new SoakVm(id, `${host}:${callerPort}`, folder);
         writeFileSync(
             vm.settingsFile,
@@ -72,11 +77,3 @@
         });
     }
 }
-
-async function findFreePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>(resolve => server.listen(0, host, resolve));
-    const { port } = server.address() as { readonly port: number; };
-    await new Promise(resolve => server.close(resolve));
-    return port;
-}
