--- a/packages/session/src/cluster/gatewayAssignment.ts
+++ b/packages/session/src/cluster/gatewayAssignment.ts
@@ -11,9 +11,9 @@
 const minConnectionsPerGateway = 4;
 const minGateways = 2;
 /** One gateway schedules up to this many slots. More gateways of a service know less of each other's use of its slots. */
-const slotsPerGateway = 8;
-/** VMs with at least this fraction of the capacity of the largest VM are preferred as gateways. */
-const preferredCapacityFraction = 0.5;
+const slotsPerGateway = 4;
+/** Exponent of a VM's capacity in its weight. Above 1 because each VM needs a part of its capacity for its own callers. */
+const capacityExponent = 2;
 /** Connection limit that is assumed for a service until its configuration arrives. */
 const unknownConnectionLimit = 16;
 
@@ -27,7 +27,7 @@
  * otherwise a few by rendezvous hashing. The other VMs relay their statements to these gateways.
  *
  * Every zone with an upstream of the service has a gateway, so that a part of the network that is cut off can still use the
- * upstreams in it. Within a zone large VMs are preferred, because a gateway carries the statements of many others.
+ * upstreams in it. Large VMs are chosen more often, because a gateway carries the statements of many others.
  *
  * VMs whose lists differ may choose differently for a moment. That costs connections but does not affect correctness.
  */
@@ -86,13 +86,9 @@
         return Math.max(minGateways, Math.min(wanted, Math.floor(limit / minConnectionsPerGateway)));
     }
 
-    /** Orders VMs by preference: the best one of each zone with an upstream first, and large VMs before small ones. */
+    /** Orders VMs by preference: the best one of each zone with an upstream first. */
     private orderByPreference(service: string, members: readonly MemberEntry[], upstreams: readonly UpstreamEntry[]): readonly MemberEntry[] {
-        const minCapacity = Math.max(...members.map(member => member.capacity)) * preferredCapacityFraction;
-        const ordered = [
-            ...orderMembers(service, members.filter(member => member.capacity >= minCapacity)),
-            ...orderMembers(service, members.filter(member => member.capacity < minCapacity)),
-        ];
+        const ordered = orderMembers(service, members, member => member.capacity ** capacityExponent);
         const zones = [...new Set(upstreams.map(upstream => upstream.zone))].sort();
         const localMembers = zones.flatMap(zone => ordered.find(member => member.zone === zone) ?? []);
         return [...new Set([...localMembers, ...ordered])];
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -52,7 +52,7 @@
         const deadline = req.receivedAt + req.workClass.statementTimeoutMs;
         const waitDeadline = req.receivedAt + req.workClass.statementTimeoutMs * AttemptLimits.maxWaitFraction;
         const triedUpstreamIds = new Set<string>();
-        let lastFailure = createFailedOutcome(ErrorKind.Busy, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
+        let lastFailure: StatementOutcome | undefined;
         for (let attempt = 0; attempt < AttemptLimits.maxAttempts && this.context.clock.now() < waitDeadline; attempt++) {
             if (attempt > 0) yield* sleep(this.context.clock, AttemptLimits.retryDelayMs * attempt);
             const target = yield* this.context.targets.find(group, req, triedUpstreamIds, waitDeadline);
@@ -65,6 +65,8 @@
                 });
                 return this.createNoTargetOutcome(group, req);
             }
+            const isRepeated = triedUpstreamIds.has(target.pool.upstream.id);
+            if (isRepeated && lastFailure?.error === ErrorKind.Busy && attempt > AttemptLimits.maxRepeatsWhenBusy) break;
             const startedAt = this.context.clock.now();
             const outcome = yield* this.runAttempt(group, req, statement, target, waitDeadline, deadline);
             this.recordAttempt(req, statement, target, outcome, attempt, startedAt);
@@ -121,8 +123,10 @@
      * Converts the last failure to the error that the caller receives. `Busy` guarantees that the statement did not run.
      * A read with an unknown outcome is reported as `Aborted`, because it changed nothing even if it ran.
      */
-    private createFinalOutcome(group: ServiceGroup, req: CallerRequest, lastFailure: StatementOutcome): StatementOutcome {
-        if (lastFailure.error === ErrorKind.Other) return createFailedOutcome(ErrorKind.Busy, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
+    private createFinalOutcome(group: ServiceGroup, req: CallerRequest, lastFailure: StatementOutcome | undefined): StatementOutcome {
+        if (lastFailure === undefined || lastFailure.error === ErrorKind.Other) {
+            return createFailedOutcome(ErrorKind.Busy, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
+        }
         if (lastFailure.error === ErrorKind.UnknownOutcome && req.readOnly) {
             return createFailedOutcome(ErrorKind.Aborted, Diagnostics.transactionLost, "no response from an upstream");
         }
@@ -142,7 +146,11 @@
         const ran = yield* target.pool.run(slotRequest, connection => this.runOnConnection(group, req, statement, target, connection, deadline));
         if (ran.ok) return yield* this.evaluateAttempt(group, req, target, ran.val, deadline);
         if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) group.primaryTracker.suspect(`dial failed: ${ran.val}`);
-        return createFailedOutcome(ran.val === ErrorKind.TimedOut ? ErrorKind.Other : ran.val, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
+        return createFailedOutcome(
+            ran.val === ErrorKind.TimedOut ? ErrorKind.Other : ran.val,
+            Diagnostics.overloaded,
+            this.context.targets.computeRetryDelayMs(group),
+        );
     }
 
     private *runOnConnection(
