--- a/packages/relay/src/relayGateway.ts
+++ b/packages/relay/src/relayGateway.ts
@@ -1,13 +1,13 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { LineSocket } from "@vanillarouter/base/lineSocket";
 import { Operation } from "@vanillarouter/base/operation";
-import { perform } from "@vanillarouter/base/perform";
 import { Signal } from "@vanillarouter/base/signal";
 import { Task } from "@vanillarouter/base/task";
 import { TaskGroup } from "@vanillarouter/base/taskGroup";
+import { waitForConnect } from "@vanillarouter/base/waitForConnect";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { MemberEntry } from "@vanillarouter/session/model/memberEntry";
-import { connect, Socket } from "node:net";
+import { connect } from "node:net";
 import { RelayLimits } from "./relayLimits";
 import { RelayLink } from "./relayLink";
 
@@ -100,7 +100,7 @@
         if (host === undefined || port === undefined) return undefined;
         const socket = connect({ host, port: Number(port) });
         const lineSocket = LineSocket.create(socket, RelayLimits.maxMessageBytes);
-        if ((yield* withTimeout(this.clock, connectTimeoutMs, this.waitForConnect(socket))) !== true) {
+        if ((yield* withTimeout(this.clock, connectTimeoutMs, waitForConnect(socket))) !== true) {
             lineSocket.close();
             this.lastOpenFailed = true;
             return undefined;
@@ -111,14 +111,4 @@
         this.tasks.start(link.dispatchResponses());
         return link;
     }
-
-    private waitForConnect(socket: Socket): Operation<boolean> {
-        return perform<boolean>({
-            start: resume => {
-                socket.once("connect", () => resume(true));
-                socket.once("close", () => resume(false));
-                return () => undefined;
-            },
-        });
-    }
 }
