--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -52,5 +52,15 @@
             "Running and waiting statements per slot.",
             pools.all.map(pool => ({ labels: label(pool), value: pool.load })),
         ),
+        createGauge(
+            "vanillarouter_upstream_slot_quota",
+            "Statements that this VM may run at once.",
+            pools.all.map(pool => ({ labels: label(pool), value: pool.slotUse.quota })),
+        ),
+        createGauge(
+            "vanillarouter_upstream_expected_wait_seconds",
+            "Time until a new statement is expected to get a slot.",
+            pools.all.map(pool => ({ labels: label(pool), value: pool.expectedWaitMs / 1000 })),
+        ),
     ];
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -90,6 +90,12 @@
         return this.clock.now() < this.dialBlockedUntil && this.open.size === 0;
     }
 
+    /** Statements of this VM that run, wait for a slot, and may run at once. */
+    public get slotUse(): { readonly running: number; readonly waiting: number; readonly quota: number; } {
+        const quota = this.quota.compute(this.upstream.slots, this.limits.getGatewayCount(), this.clock.now());
+        return { running: this.scheduler.runningCount, waiting: this.scheduler.waitingCount, quota };
+    }
+
     /** Expected time until a new statement gets a slot, in milliseconds. */
     public get expectedWaitMs(): number {
         return this.scheduler.estimateDelay();
@@ -113,7 +119,7 @@
     }
 
     private *runInSlot<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<T | undefined> {
-        this.scheduler.setSlots(this.quota.compute(this.upstream.slots, this.limits.getGatewayCount(), this.clock.now()));
+        this.scheduler.setSlots(this.slotUse.quota);
         const slotRequest = {
             className: request.workClass.database,
             rank: convertRank(request.workClass.rank),
