Tell a transaction that got no slot from one that got no response

A statement of a transaction that the schedule refused counted as a lost response: the primary was suspected and the VM came closer to counting as isolated, in a flood of all times. It is now rolled back with its own reason, and the upstream is left in good standing.

--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -79,3 +79,27 @@
         assert.deepEqual(bed.fakeGroup.find("u1").log.map(entry => entry.id), ["w1"]);
     }
 });
+
+// Guards against a primary that is suspected, and a VM that counts as isolated, because of a flood: an upstream without slots is no upstream without responses.
+test("a transaction that gets no slot is rolled back and says nothing about the primary", () => {
+    const bed = TestBed.create();
+    const transaction = createTransaction(bed);
+    bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1")));
+    bed.fakeGroup.find("u1").executionMs = 5_000;
+    const blocking = [1, 2, 3, 4].map(index =>
+        Task.start(bed.runner.run(bed.group, bed.createRequest(Freshness.Latest, false), bed.createStatement(`b${index}`, StatementKind.Write, "WRITE b 1")))
+    );
+    for (let step = 0; step < 10; step++) bed.clock.advance(1);
+    const pool = bed.pools.find("u1")!;
+    const failuresBefore = pool.consecutiveFailures;
+    const outcome = bed.run(pool.continueTransaction({
+        session: bed.session,
+        workClass: bed.createRequest(Freshness.Latest, false).workClass,
+        receivedAt: bed.clock.now(),
+        deadline: bed.clock.now() + 1,
+        waitDeadline: bed.clock.now() + 1,
+    }, function*() {}));
+    assert.equal(outcome.err && outcome.val, ErrorKind.Busy);
+    assert.equal(pool.consecutiveFailures, failuresBefore);
+    for (const task of blocking) task.cancel();
+});
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -1,6 +1,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
 import { Task } from "@vanillarouter/base/task";
+import { Result } from "ts-results";
 import { describeGroup } from "../cluster/describeGroup";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { Diagnostics } from "../diagnostics";
@@ -49,7 +50,9 @@
         const deadline = this.context.clock.now() + this.req.workClass.statementTimeoutMs;
         const failure = yield* this.begin(statement, deadline);
         if (failure !== undefined) return failure;
-        const response = yield* this.forward(statement, deadline);
+        const forwarded = yield* this.forward(statement, deadline);
+        if (forwarded.err) return this.abortWithoutSlot();
+        const response = forwarded.val;
         if (response === undefined || response.error !== undefined) return this.abort(response);
         if (statement.kind === StatementKind.Write) this.hasWritten = true;
         if (statement.kind === StatementKind.Execute && this.req.session.prepared.get(statement.name)?.readOnly === false) this.hasWritten = true;
@@ -61,7 +64,9 @@
         const failure = yield* this.begin(statement, deadline);
         if (failure !== undefined) return failure;
         const { target, connection } = this.placement!;
-        const response = yield* this.forward(statement, deadline);
+        const forwarded = yield* this.forward(statement, deadline);
+        if (forwarded.err) return this.abortWithoutSlot();
+        const response = forwarded.val;
         if (response === undefined) {
             this.discardConnection();
             this.context.decisions.logFailed("commit.unanswered", {
@@ -112,14 +117,16 @@
         else target.pool.discard(connection);
     }
 
-    private *forward(statement: CallerStatement, deadline: number): Operation<UpstreamResponse | undefined> {
+    /** Sends a statement in a slot. Fails with `Busy` if it was not sent because there was no slot in time. */
+    private *forward(statement: CallerStatement, deadline: number): Operation<Result<UpstreamResponse | undefined, ErrorKind>> {
         const { target, connection } = this.placement!;
         const { session, workClass } = this.req;
         const slotRequest = { session, workClass, receivedAt: this.context.clock.now(), deadline, waitDeadline: deadline };
-        const response = yield* target.pool.continueTransaction(slotRequest, () => this.sendStatement(statement, connection, deadline));
-        if (response === undefined) target.pool.recordFailure();
-        else target.pool.recordResponse(response.applied);
-        return response;
+        const forwarded = yield* target.pool.continueTransaction(slotRequest, () => this.sendStatement(statement, connection, deadline));
+        if (forwarded.err) return forwarded;
+        if (forwarded.val === undefined) target.pool.recordFailure();
+        else target.pool.recordResponse(forwarded.val.applied);
+        return forwarded;
     }
 
     private *sendStatement(statement: CallerStatement, connection: UpstreamConnection, deadline: number): Operation<UpstreamResponse | undefined> {
@@ -142,6 +149,12 @@
         }
     }
 
+    /** Rolls back because the next statement, or the COMMIT, was not sent. The upstream itself may be well. */
+    private abortWithoutSlot(): StatementOutcome {
+        this.discardConnection();
+        return createFailedOutcome(ErrorKind.Aborted, Diagnostics.transactionLost, "no slot in time");
+    }
+
     private abort(response: UpstreamResponse | undefined, isCommit = false): StatementOutcome {
         this.suspectPrimary(response);
         this.discardConnection();
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -110,15 +110,15 @@
      */
     public *run<T>(request: SlotRequest, operation: (connection: UpstreamConnection) => Operation<T>): Operation<Result<T, ErrorKind>> {
         const ran = yield* this.runInSlot(request, false, () => this.runOnConnection(request, operation));
-        return ran ?? Err(ErrorKind.Busy);
+        return ran.ok ? ran.val : ran;
     }
 
-    /** Runs the next statement of a transaction, which has its connection, in a slot. Returns undefined if it gets no slot in time. */
-    public *continueTransaction<T>(request: SlotRequest, operation: () => Operation<T>): Operation<T | undefined> {
+    /** Runs the next statement of a transaction, which has its connection, in a slot. Fails with `Busy` if it gets no slot in time. */
+    public *continueTransaction<T>(request: SlotRequest, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
         return yield* this.runInSlot(request, true, operation);
     }
 
-    private *runInSlot<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<T | undefined> {
+    private *runInSlot<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
         this.scheduler.setSlots(this.slotUse.quota);
         const slotRequest = {
             className: request.workClass.database,
@@ -130,7 +130,7 @@
             continuesWork,
         };
         const ran = yield* this.scheduler.run(slotRequest, operation);
-        return ran.ok ? ran.val : undefined;
+        return ran.ok ? ran : Err(ErrorKind.Busy);
     }
 
     private *runOnConnection<T>(request: SlotRequest, operation: (connection: UpstreamConnection) => Operation<T>): Operation<Result<T, ErrorKind>> {
