Choose the gateways of a service again only if members, its limit, zones or slots changed

Every change of the cluster dropped the assignments of all services, so each change of an upstream's entry and each configuration cost N x S hashes on every VM (CAPACITY.md lists the miss). Changes of members still do.

--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -30,6 +30,7 @@
     private readonly members = new Map<string, MemberEntry>();
     private readonly membersMissingSince = new Map<string, number>();
     private changeCount = 0;
+    private memberChangeCount = 0;
     /** Decides which VMs hold connections to the upstreams of each service. */
     public readonly gateways: GatewayAssignment;
 
@@ -52,6 +53,11 @@
         return this.changeCount;
     }
 
+    /** A number that increases with every change of the members. */
+    public get memberGeneration(): number {
+        return this.memberChangeCount;
+    }
+
     public get configuration(): RoutingConfiguration | undefined {
         return this.currentConfiguration;
     }
@@ -152,6 +158,7 @@
             if (this.clock.now() - since < missingMemberGraceMs) continue;
             this.membersMissingSince.delete(id);
             this.members.delete(id);
+            this.memberChangeCount++;
             this.notifyChange();
         }
     }
@@ -161,6 +168,7 @@
         this.membersMissingSince.delete(member.id);
         if (JSON.stringify(this.members.get(member.id)) === JSON.stringify(member)) return;
         this.members.set(member.id, member);
+        this.memberChangeCount++;
         this.notifyChange();
     }
 
--- a/packages/session/src/cluster/gatewayAssignment.test.ts
+++ b/packages/session/src/cluster/gatewayAssignment.test.ts
@@ -75,6 +75,21 @@
     assert.ok(roles.some(member => member.zone === "z2"));
 });
 
+// Guards against choosing the gateways of every service anew after each change, which took processor time in proportion to VMs and services.
+test("changes that concern no member, limit or slot leave the choice of gateways as it is", () => {
+    const members = createMembers(195);
+    const cluster = createCluster(members, members[0]!, 49);
+    const before = cluster.gateways.list(service);
+    cluster.putUpstream({ ...cluster.findUpstream("u2")!, claimsPrimary: true, isLeaving: true });
+    cluster.applyConfiguration({ ...cluster.configuration!, version: 2, transactionIdleMs: 1 });
+    assert.equal(cluster.gateways.list(service), before);
+    cluster.putUpstream({ ...cluster.findUpstream("u2")!, slots: 40 });
+    assert.notEqual(cluster.gateways.list(service), before);
+    const withSlots = cluster.gateways.list(service);
+    cluster.putMember({ ...members[5]!, isLeaving: true });
+    assert.notEqual(cluster.gateways.list(service), withSlots);
+});
+
 // Guards against dozens of gateways in front of a few slots: each would use them as if it were alone, and ask for the status of each upstream.
 test("the number of gateways follows the slots of the service, not the number of VMs", () => {
     for (const count of [65, 195, 600]) {
--- a/packages/session/src/cluster/gatewayAssignment.ts
+++ b/packages/session/src/cluster/gatewayAssignment.ts
@@ -20,6 +20,15 @@
 interface ServiceGateways {
     readonly members: readonly MemberEntry[];
     readonly connectionsPerVm: number;
+    readonly basis: AssignmentBasis;
+}
+
+/** What an assignment depends on. Most changes of the cluster, such as the role of an upstream or a route, change nothing of it. */
+interface AssignmentBasis {
+    readonly memberGeneration: number;
+    readonly maxConnections: number;
+    readonly zones: string;
+    readonly slots: number;
 }
 
 /**
@@ -34,6 +43,8 @@
 export class GatewayAssignment {
     private generation = -1;
     private readonly assignments = new Map<string, ServiceGateways>();
+    /** Services whose assignment has been checked since the last change of the cluster. */
+    private readonly checkedServices = new Set<string>();
 
     private constructor(private readonly cluster: ClusterState) {}
 
@@ -59,23 +70,35 @@
     private getOrAssign(service: string): ServiceGateways {
         if (this.generation !== this.cluster.generation) {
             this.generation = this.cluster.generation;
-            this.assignments.clear();
-        }
-        let gateways = this.assignments.get(service);
-        if (gateways === undefined) {
-            gateways = this.assign(service);
-            this.assignments.set(service, gateways);
+            this.checkedServices.clear();
         }
+        const known = this.assignments.get(service);
+        if (known !== undefined && this.checkedServices.has(service)) return known;
+        this.checkedServices.add(service);
+        const basis = this.describeBasis(service);
+        if (known !== undefined && isSameBasis(known.basis, basis)) return known;
+        const gateways = this.assign(service, basis);
+        this.assignments.set(service, gateways);
         return gateways;
     }
 
-    private assign(service: string): ServiceGateways {
-        const limit = (this.cluster.configuration?.services.get(service)?.maxConnections ?? unknownConnectionLimit) * sharedFraction;
+    private describeBasis(service: string): AssignmentBasis {
+        const upstreams = this.cluster.listUpstreams(service);
+        return {
+            memberGeneration: this.cluster.memberGeneration,
+            maxConnections: this.cluster.configuration?.services.get(service)?.maxConnections ?? unknownConnectionLimit,
+            zones: [...new Set(upstreams.map(upstream => upstream.zone))].sort().join(" "),
+            slots: upstreams.reduce((sum, upstream) => sum + upstream.slots, 0),
+        };
+    }
+
+    private assign(service: string, basis: AssignmentBasis): ServiceGateways {
+        const limit = basis.maxConnections * sharedFraction;
         const activeMembers = this.cluster.memberList.filter(member => !member.isLeaving);
         const upstreams = this.cluster.listUpstreams(service);
         const count = this.countGateways(upstreams, limit, activeMembers.length);
         const members = this.orderByPreference(service, activeMembers, upstreams).slice(0, count);
-        return { members, connectionsPerVm: Math.max(minConnectionsPerVm, Math.floor(limit / Math.max(1, members.length))) };
+        return { members, connectionsPerVm: Math.max(minConnectionsPerVm, Math.floor(limit / Math.max(1, members.length))), basis };
     }
 
     private countGateways(upstreams: readonly UpstreamEntry[], limit: number, memberCount: number): number {
@@ -94,3 +117,10 @@
         return [...new Set([...localMembers, ...ordered])];
     }
 }
+
+function isSameBasis(first: AssignmentBasis, second: AssignmentBasis): boolean {
+    return first.memberGeneration === second.memberGeneration
+        && first.maxConnections === second.maxConnections
+        && first.zones === second.zones
+        && first.slots === second.slots;
+}
