Ask the replica with free slots to verify the primary

A read of the latest state and each commit wait for a status of one replica, which takes a slot there. The load per slot now counts, and the zone only between equals.

--- a/packages/session/src/freshness/primaryVerifier.ts
+++ b/packages/session/src/freshness/primaryVerifier.ts
@@ -13,6 +13,10 @@
 const firstStatusTimeoutMs = 150;
 const statusTimeoutMs = 350;
 const maxReplicasPerRound = 2;
+/** Cost of a replica in another zone, as a load per slot. A status waits longer for a slot than for the way to another zone. */
+const otherZoneCost = 0.1;
+/** Cost of a replica that failed once or that is leaving. It exceeds the load of one that responds. */
+const doubtfulCost = 10;
 
 interface VerificationRound {
     readonly startedAt: number;
@@ -91,8 +95,9 @@
         return undefined;
     }
 
-    /** Returns the cost by which replicas are ordered: responsive ones first, then those in this VM's zone. */
+    /** Returns the cost by which replicas are ordered: responsive ones first, then those with free slots, then those in this VM's zone. */
     private computeReplicaCost(replica: UpstreamPool): number {
-        return 2 * replica.consecutiveFailures + (replica.upstream.isLeaving ? 2 : 0) + (replica.upstream.zone === this.zone ? 0 : 1);
+        const zoneCost = replica.upstream.zone === this.zone ? 0 : otherZoneCost;
+        return doubtfulCost * (replica.consecutiveFailures + (replica.upstream.isLeaving ? 1 : 0)) + replica.load + zoneCost;
     }
 }
