--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -4,6 +4,7 @@
 import { RoutingConfiguration } from "../model/routingConfiguration";
 import { UpstreamEntry } from "../model/upstreamEntry";
 import { WorkClass } from "../model/workClass";
+import { ClusterView } from "./clusterView";
 import { GatewayAssignment } from "./gatewayAssignment";
 
 /** Time for which a missing upstream is kept. If its entry expires during a store outage, it registers again within two seconds of the end of the outage. */
@@ -16,7 +17,7 @@
 const unknownLeavingGraceMs = 1_500;
 
 /** This VM's view of the configuration, the upstreams and the other VMs. */
-export class ClusterState {
+export class ClusterState implements ClusterView {
     /** Wakes tasks that depend on the upstreams and members. */
     public readonly topologyChanged = Signal.create<void>();
     /** Wakes tasks that wait for a configuration. */
--- a/packages/session/src/cluster/gatewayAssignment.ts
+++ b/packages/session/src/cluster/gatewayAssignment.ts
@@ -1,6 +1,6 @@
 import { MemberEntry } from "../model/memberEntry";
 import { UpstreamEntry } from "../model/upstreamEntry";
-import { ClusterState } from "./clusterState";
+import { ClusterView } from "./clusterView";
 import { orderMembers } from "./orderMembers";
 
 /** Fraction of an upstream's connection limit that is divided among VMs. The rest covers joining VMs and differing member lists. */
@@ -46,9 +46,9 @@
     /** Services whose assignment has been checked since the last change of the cluster. */
     private readonly checkedServices = new Set<string>();
 
-    private constructor(private readonly cluster: ClusterState) {}
+    private constructor(private readonly cluster: ClusterView) {}
 
-    public static create(cluster: ClusterState): GatewayAssignment {
+    public static create(cluster: ClusterView): GatewayAssignment {
         return new GatewayAssignment(cluster);
     }
 
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -93,7 +93,11 @@
         const role = target.primaryTerm === undefined ? "replica" : "primary";
         this.context.metrics.counters.add("vanillarouter_attempts_total", `service="${req.workClass.service}",role="${role}",outcome="${result}"`);
         if (outcome.error === undefined) this.context.decisions.logServed("statement.run", fields);
-        else this.context.decisions.logFailed("statement.run", { ...fields, ...target.pool.slotUse, expectedWaitMs: Math.round(target.pool.expectedWaitMs) });
+        else {this.context.decisions.logFailed("statement.run", {
+                ...fields,
+                ...target.pool.slots.use,
+                expectedWaitMs: Math.round(target.pool.slots.expectedWaitMs),
+            });}
     }
 
     private createNoTargetOutcome(group: ServiceGroup, req: CallerRequest): StatementOutcome {
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -68,7 +68,7 @@
 
     /** Returns when a request that was refused for want of a slot should be sent again, in milliseconds from now. */
     public computeRetryDelayMs(group: ServiceGroup): number {
-        const waits = group.pools.list(group.service).filter(pool => pool.isReachable).map(pool => pool.expectedWaitMs);
+        const waits = group.pools.list(group.service).filter(pool => pool.isReachable).map(pool => pool.slots.expectedWaitMs);
         return computeRetryDelayMs(waits.length === 0 ? 0 : Math.min(...waits), this.random.next());
     }
 
@@ -129,7 +129,7 @@
 
     private computeReadCost(group: ServiceGroup, pool: UpstreamPool, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): number {
         const isPrimary = pool.upstream.id === group.primaryTracker.primary?.id;
-        let cost = pool.load + pool.consecutiveFailures + pool.responseTimes.recentMs / fullLoadResponseMs + this.random.next() * randomCostRange;
+        let cost = pool.slots.load + pool.consecutiveFailures + pool.responseTimes.recentMs / fullLoadResponseMs + this.random.next() * randomCostRange;
         if (pool.upstream.zone !== this.zone) cost += otherZonePenalty;
         if (isPrimary) cost += primaryPenalty;
         else if (pool.applied !== undefined && compareLogPositions(pool.applied, floor) < 0) cost += 1;
--- a/packages/session/src/freshness/primaryVerifier.ts
+++ b/packages/session/src/freshness/primaryVerifier.ts
@@ -98,6 +98,6 @@
     /** Returns the cost by which replicas are ordered: responsive ones first, then those with free slots, then those in this VM's zone. */
     private computeReplicaCost(replica: UpstreamPool): number {
         const zoneCost = replica.upstream.zone === this.zone ? 0 : otherZoneCost;
-        return doubtfulCost * (replica.consecutiveFailures + (replica.upstream.isLeaving ? 1 : 0)) + replica.load + zoneCost;
+        return doubtfulCost * (replica.consecutiveFailures + (replica.upstream.isLeaving ? 1 : 0)) + replica.slots.load + zoneCost;
     }
 }
--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -50,17 +50,17 @@
         createGauge(
             "vanillarouter_upstream_load",
             "Running and waiting statements per slot.",
-            pools.all.map(pool => ({ labels: label(pool), value: pool.load })),
+            pools.all.map(pool => ({ labels: label(pool), value: pool.slots.load })),
         ),
         createGauge(
             "vanillarouter_upstream_slot_quota",
             "Statements that this VM may run at once.",
-            pools.all.map(pool => ({ labels: label(pool), value: pool.slotUse.quota })),
+            pools.all.map(pool => ({ labels: label(pool), value: pool.slots.use.quota })),
         ),
         createGauge(
             "vanillarouter_upstream_expected_wait_seconds",
             "Time until a new statement is expected to get a slot.",
-            pools.all.map(pool => ({ labels: label(pool), value: pool.expectedWaitMs / 1000 })),
+            pools.all.map(pool => ({ labels: label(pool), value: pool.slots.expectedWaitMs / 1000 })),
         ),
     ];
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -4,8 +4,6 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
-import { SlotQuota } from "@vanillarouter/scheduling/slotQuota";
-import { SlotScheduler } from "@vanillarouter/scheduling/slotScheduler";
 import { Err, Ok, Result } from "ts-results";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
@@ -13,11 +11,11 @@
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { UpstreamEntry } from "../model/upstreamEntry";
 import { UpstreamStatus } from "../model/upstreamStatus";
-import { convertRank } from "./convertRank";
 import { PoolLimits } from "./poolLimits";
 import { ResponseTimeAverage } from "./responseTimeAverage";
 import { SlotRequest } from "./slotRequest";
 import { UpstreamConnection } from "./upstreamConnection";
+import { UpstreamSlots } from "./upstreamSlots";
 import { WaitQueue } from "./waitQueue";
 
 const dialTimeoutMs = 450;
@@ -38,11 +36,10 @@
     public consecutiveFailures = 0;
     public lastResponseAt = Number.NEGATIVE_INFINITY;
     public readonly responseTimes: ResponseTimeAverage;
+    public readonly slots: UpstreamSlots;
     private readonly idle: UpstreamConnection[] = [];
     private readonly open = new Set<UpstreamConnection>();
     private readonly connectionQueue = WaitQueue.create<void>();
-    private readonly scheduler: SlotScheduler;
-    private readonly quota = SlotQuota.create();
     private pendingDials = 0;
     private dialBlockedUntil = Number.NEGATIVE_INFINITY;
     private isClosed = false;
@@ -53,7 +50,7 @@
         private readonly dialer: UpstreamDialer,
         private readonly limits: PoolLimits,
     ) {
-        this.scheduler = SlotScheduler.create(clock, Math.max(1, currentUpstream.slots));
+        this.slots = UpstreamSlots.create(clock, () => this.upstream.slots, () => limits.getGatewayCount());
         this.responseTimes = ResponseTimeAverage.create(clock);
     }
 
@@ -70,11 +67,6 @@
         this.currentUpstream = upstream;
     }
 
-    /** Running and waiting statements per slot of the upstream. */
-    public get load(): number {
-        return (this.scheduler.runningCount + this.scheduler.waitingCount) / Math.max(1, this.upstream.slots);
-    }
-
     /** Number of connections that are open or being dialed. */
     public get connectionCount(): number {
         return this.open.size + this.pendingDials;
@@ -90,17 +82,6 @@
         return this.clock.now() < this.dialBlockedUntil && this.open.size === 0;
     }
 
-    /** Statements of this VM that run, wait for a slot, and may run at once. */
-    public get slotUse(): { readonly running: number; readonly waiting: number; readonly quota: number; } {
-        const quota = this.quota.compute(this.upstream.slots, this.limits.getGatewayCount(), this.clock.now());
-        return { running: this.scheduler.runningCount, waiting: this.scheduler.waitingCount, quota };
-    }
-
-    /** Expected time until a new statement gets a slot, in milliseconds. */
-    public get expectedWaitMs(): number {
-        return this.scheduler.estimateDelay();
-    }
-
     /**
      * Runs `operation` in a slot, on a connection with the session's values. The operation must return the connection to the
      * pool, keep it for a transaction or discard it.
@@ -109,28 +90,13 @@
      * failed dial, or with `Other` if no connection is open and none may be dialed yet. In all these cases nothing has run.
      */
     public *run<T>(request: SlotRequest, operation: (connection: UpstreamConnection) => Operation<T>): Operation<Result<T, ErrorKind>> {
-        const ran = yield* this.runInSlot(request, false, () => this.runOnConnection(request, operation));
+        const ran = yield* this.slots.run(request, false, () => this.runOnConnection(request, operation));
         return ran.ok ? ran.val : ran;
     }
 
     /** Runs the next statement of a transaction, which has its connection, in a slot. Fails with `Busy` if it gets no slot in time. */
     public *continueTransaction<T>(request: SlotRequest, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
-        return yield* this.runInSlot(request, true, operation);
-    }
-
-    private *runInSlot<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
-        this.scheduler.setSlots(this.slotUse.quota);
-        const slotRequest = {
-            className: request.workClass.database,
-            rank: convertRank(request.workClass.rank),
-            franchisee: "",
-            arrivedAt: request.receivedAt,
-            deadline: request.deadline,
-            afterSlotMs: 0,
-            continuesWork,
-        };
-        const ran = yield* this.scheduler.run(slotRequest, operation);
-        return ran.ok ? ran : Err(ErrorKind.Busy);
+        return yield* this.slots.run(request, true, operation);
     }
 
     private *runOnConnection<T>(request: SlotRequest, operation: (connection: UpstreamConnection) => Operation<T>): Operation<Result<T, ErrorKind>> {
@@ -170,7 +136,7 @@
     public *runControl(kind: CommandKind, timeoutMs: number, term?: number): Operation<UpstreamStatus | undefined> {
         const status = yield* withTimeout(this.clock, timeoutMs, this.runControlCommand(kind, timeoutMs, term));
         if (status === undefined) this.recordFailure();
-        else this.quota.observe(status.busySlots, this.upstream.slots, this.clock.now());
+        else this.slots.recordBusySlots(status.busySlots);
         return status;
     }
 
--- /dev/null
+++ b/packages/session/src/upstream/upstreamSlots.ts
@@ -0,0 +1,60 @@
+import { Clock } from "@vanillarouter/base/clock";
+import { Operation } from "@vanillarouter/base/operation";
+import { SlotQuota } from "@vanillarouter/scheduling/slotQuota";
+import { SlotScheduler } from "@vanillarouter/scheduling/slotScheduler";
+import { Err, Result } from "ts-results";
+import { ErrorKind } from "../model/errorKind";
+import { convertRank } from "./convertRank";
+import { SlotRequest } from "./slotRequest";
+
+/** This VM's use of the slots of one upstream: how many statements it may run at once, and which of them is next. */
+export class UpstreamSlots {
+    private readonly scheduler: SlotScheduler;
+    private readonly quota = SlotQuota.create();
+
+    private constructor(private readonly clock: Clock, private readonly getSlots: () => number, private readonly getGatewayCount: () => number) {
+        this.scheduler = SlotScheduler.create(clock, Math.max(1, getSlots()));
+    }
+
+    /** `getSlots` returns the slots of the upstream, `getGatewayCount` the number of VMs that share them. */
+    public static create(clock: Clock, getSlots: () => number, getGatewayCount: () => number): UpstreamSlots {
+        return new UpstreamSlots(clock, getSlots, getGatewayCount);
+    }
+
+    /** Statements of this VM that run, wait for a slot, and may run at once. */
+    public get use(): { readonly running: number; readonly waiting: number; readonly quota: number; } {
+        const quota = this.quota.compute(this.getSlots(), this.getGatewayCount(), this.clock.now());
+        return { running: this.scheduler.runningCount, waiting: this.scheduler.waitingCount, quota };
+    }
+
+    /** Expected time until a new statement gets a slot, in milliseconds. */
+    public get expectedWaitMs(): number {
+        return this.scheduler.estimateDelay();
+    }
+
+    /** Running and waiting statements of this VM per slot of the upstream. */
+    public get load(): number {
+        return (this.scheduler.runningCount + this.scheduler.waitingCount) / Math.max(1, this.getSlots());
+    }
+
+    /** Records how many slots of the upstream are in use by all VMs. */
+    public recordBusySlots(busySlots: number): void {
+        this.quota.observe(busySlots, this.getSlots(), this.clock.now());
+    }
+
+    /** Runs an operation in a slot. Fails with `Busy`, without running it, if it would get the slot too late for its deadline. */
+    public *run<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
+        this.scheduler.setSlots(this.use.quota);
+        const slotRequest = {
+            className: request.workClass.database,
+            rank: convertRank(request.workClass.rank),
+            franchisee: "",
+            arrivedAt: request.receivedAt,
+            deadline: request.deadline,
+            afterSlotMs: 0,
+            continuesWork,
+        };
+        const ran = yield* this.scheduler.run(slotRequest, operation);
+        return ran.ok ? ran : Err(ErrorKind.Busy);
+    }
+}
