Close a connection whose caller leaves during a setup command, not only during a statement

Found in the reading of the diff: since statements run on after their caller has left, ROLLBACK could be sent while SET or PREPARE was still unanswered, and would have got that response. The fake link of the tests matches responses to commands, so the test shows the outcome, not the mix-up.

--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -63,13 +63,16 @@
 
 // Guards against a connection that stays in the transaction of a caller that has left, or gets the response to its last statement.
 test("a caller that leaves during a statement leaves no transaction open and no connection in doubt", () => {
-    for (const hasBegun of [false, true]) {
+    const cases = [false, true].flatMap(hasBegun => [1, 2, 4, 6, 20].map(leavesAfterMs => ({ hasBegun, leavesAfterMs })));
+    for (const { hasBegun, leavesAfterMs } of cases) {
         const bed = TestBed.create();
+        // The first command on a connection sets this value.
+        bed.session.values.set("mode", "fast");
         const transaction = createTransaction(bed);
         if (hasBegun) bed.run(transaction.runStatement(bed.createStatement("s1", StatementKind.Write, "WRITE a 1")));
         bed.fakeGroup.find("u1").executionMs = 50;
         const task = Task.start(transaction.runStatement(bed.createStatement("s2", StatementKind.Write, "WRITE b 1")));
-        for (let step = 0; step < 20; step++) bed.clock.advance(1);
+        for (let step = 0; step < leavesAfterMs; step++) bed.clock.advance(1);
         task.cancel();
         transaction.rollBack();
         for (let step = 0; step < 500; step++) bed.clock.advance(1);
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -35,8 +35,8 @@
 export class OpenTransaction implements CallerTransaction {
     private placement: { readonly target: Target; readonly connection: UpstreamConnection; } | undefined;
     private hasWritten = false;
-    /** Whether a statement was sent to the upstream and has neither been answered nor given up. */
-    private isStatementRunning = false;
+    /** Whether a command was sent on the connection and has neither been answered nor given up. */
+    private isConnectionBusy = false;
     private isRolledBack = false;
 
     private constructor(private readonly context: EntryContext, private readonly group: ServiceGroup, private readonly req: CallerRequest) {}
@@ -107,8 +107,8 @@
         const placement = this.placement;
         this.placement = undefined;
         if (placement === undefined) return;
-        // A statement that was sent runs on after its caller has left. ROLLBACK would then get the response to that statement.
-        if (this.isStatementRunning) placement.target.pool.discard(placement.connection);
+        // A command that was sent runs on after its caller has left. ROLLBACK would then get the response to that command.
+        if (this.isConnectionBusy) placement.target.pool.discard(placement.connection);
         else Task.start(this.rollBackConnection(placement.target, placement.connection));
     }
 
@@ -130,22 +130,22 @@
     }
 
     private *sendStatement(statement: CallerStatement, connection: UpstreamConnection, deadline: number): Operation<UpstreamResponse | undefined> {
-        if (!(yield* connection.applySession(this.req.session))) return undefined;
-        let preparedName: string | undefined;
-        if (statement.kind === StatementKind.Execute) {
-            const prepared = this.req.session.prepared.get(statement.name)!;
-            preparedName = yield* connection.prepare(prepared.shape, prepared.readOnly);
-            if (preparedName === undefined) return undefined;
-        }
-        this.isStatementRunning = true;
+        this.isConnectionBusy = true;
         try {
+            if (!(yield* connection.applySession(this.req.session))) return undefined;
+            let preparedName: string | undefined;
+            if (statement.kind === StatementKind.Execute) {
+                const prepared = this.req.session.prepared.get(statement.name)!;
+                preparedName = yield* connection.prepare(prepared.shape, prepared.readOnly);
+                if (preparedName === undefined) return undefined;
+            }
             return yield* connection.run(
                 { kind: CommandKind.Forward, id: statement.id, text: statement.text, name: statement.name, preparedName },
                 Math.max(1, deadline - this.context.clock.now()),
             );
         }
         finally {
-            this.isStatementRunning = false;
+            this.isConnectionBusy = false;
         }
     }
 
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -92,12 +92,12 @@
         };
         const role = target.primaryTerm === undefined ? "replica" : "primary";
         this.context.metrics.counters.add("vanillarouter_attempts_total", `service="${req.workClass.service}",role="${role}",outcome="${result}"`);
-        if (outcome.error === undefined) this.context.decisions.logServed("statement.run", fields);
-        else {this.context.decisions.logFailed("statement.run", {
-                ...fields,
-                ...target.pool.slots.use,
-                expectedWaitMs: Math.round(target.pool.slots.expectedWaitMs),
-            });}
+        if (outcome.error === undefined) {
+            this.context.decisions.logServed("statement.run", fields);
+            return;
+        }
+        const { use, expectedWaitMs } = target.pool.slots;
+        this.context.decisions.logFailed("statement.run", { ...fields, ...use, expectedWaitMs: Math.round(expectedWaitMs) });
     }
 
     private createNoTargetOutcome(group: ServiceGroup, req: CallerRequest): StatementOutcome {
