--- a/packages/session/src/cluster/gatewayAssignment.ts
+++ b/packages/session/src/cluster/gatewayAssignment.ts
@@ -1,5 +1,4 @@
 import { MemberEntry } from "../model/memberEntry";
-import { UpstreamEntry } from "../model/upstreamEntry";
 import { ClusterView } from "./clusterView";
 import { orderMembers } from "./orderMembers";
 
@@ -27,7 +26,9 @@
 interface AssignmentBasis {
     readonly memberGeneration: number;
     readonly maxConnections: number;
-    readonly zones: string;
+    /** Zones with an upstream of the service, in alphabetical order. */
+    readonly zones: readonly string[];
+    /** Slots of all upstreams of the service. */
     readonly slots: number;
 }
 
@@ -87,7 +88,7 @@
         return {
             memberGeneration: this.cluster.memberGeneration,
             maxConnections: this.cluster.configuration?.services.get(service)?.maxConnections ?? unknownConnectionLimit,
-            zones: [...new Set(upstreams.map(upstream => upstream.zone))].sort().join(" "),
+            zones: [...new Set(upstreams.map(upstream => upstream.zone))].sort(),
             slots: upstreams.reduce((sum, upstream) => sum + upstream.slots, 0),
         };
     }
@@ -95,24 +96,21 @@
     private assign(service: string, basis: AssignmentBasis): ServiceGateways {
         const limit = basis.maxConnections * sharedFraction;
         const activeMembers = this.cluster.memberList.filter(member => !member.isLeaving);
-        const upstreams = this.cluster.listUpstreams(service);
-        const count = this.countGateways(upstreams, limit, activeMembers.length);
-        const members = this.orderByPreference(service, activeMembers, upstreams).slice(0, count);
-        return { members, connectionsPerVm: Math.max(minConnectionsPerVm, Math.floor(limit / Math.max(1, members.length))), basis };
+        const count = this.countGateways(basis, limit, activeMembers.length);
+        const members = this.orderByPreference(service, activeMembers, basis.zones).slice(0, count);
+        const connectionsPerVm = Math.max(minConnectionsPerVm, Math.floor(limit / Math.max(1, members.length)));
+        return { members, connectionsPerVm, basis };
     }
 
-    private countGateways(upstreams: readonly UpstreamEntry[], limit: number, memberCount: number): number {
+    private countGateways({ slots, zones }: AssignmentBasis, limit: number, memberCount: number): number {
         if (Math.floor(limit / memberCount) >= minConnectionsPerVm) return memberCount;
-        const slots = upstreams.reduce((sum, upstream) => sum + upstream.slots, 0);
-        const zones = new Set(upstreams.map(upstream => upstream.zone));
-        const wanted = Math.max(minGateways, zones.size, Math.ceil(slots / slotsPerGateway));
+        const wanted = Math.max(minGateways, zones.length, Math.ceil(slots / slotsPerGateway));
         return Math.max(minGateways, Math.min(wanted, Math.floor(limit / minConnectionsPerGateway)));
     }
 
     /** Orders VMs by preference: the best one of each zone with an upstream first. */
-    private orderByPreference(service: string, members: readonly MemberEntry[], upstreams: readonly UpstreamEntry[]): readonly MemberEntry[] {
+    private orderByPreference(service: string, members: readonly MemberEntry[], zones: readonly string[]): readonly MemberEntry[] {
         const ordered = orderMembers(service, members, member => member.capacity ** capacityExponent);
-        const zones = [...new Set(upstreams.map(upstream => upstream.zone))].sort();
         const localMembers = zones.flatMap(zone => ordered.find(member => member.zone === zone) ?? []);
         return [...new Set([...localMembers, ...ordered])];
     }
@@ -121,6 +119,6 @@
 function isSameBasis(first: AssignmentBasis, second: AssignmentBasis): boolean {
     return first.memberGeneration === second.memberGeneration
         && first.maxConnections === second.maxConnections
-        && first.zones === second.zones
+        && first.zones.join() === second.zones.join()
         && first.slots === second.slots;
 }
