--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -10,6 +10,7 @@
     vanillarouter_attempts_total: "Attempts at statements by service, role of the upstream and outcome.",
     vanillarouter_relayed_total: "Calls of gateways by service and outcome.",
     vanillarouter_store_calls_total: "Calls to the platform's store by kind and answer.",
+    vanillarouter_store_changes_total: "Changes of the platform's store by whether they were newer than the known state.",
     vanillarouter_promotions_total: "Promotions by service and outcome.",
 };
 
@@ -30,8 +31,8 @@
     ];
 }
 
-/** Collects all metrics of a VM. */
-export function collectMetrics(metrics: EntryMetrics, cluster: ClusterState, pools: UpstreamPools): readonly MetricFamily[] {
+/** Collects all metrics of a VM. `storeEra` is the number of the store's history that the VM has seen last. */
+export function collectMetrics(metrics: EntryMetrics, cluster: ClusterState, pools: UpstreamPools, storeEra: number): readonly MetricFamily[] {
     const label = (pool: { readonly upstream: { readonly id: string; readonly service: string; }; }): string =>
         `service="${pool.upstream.service}",upstream="${pool.upstream.id}"`;
     return [
@@ -45,6 +46,10 @@
             labels: "",
             value: cluster.configurationAgeMs / 1000,
         }]),
+        createGauge("vanillarouter_store_era", "Number of the store's history, which increases when the store comes back from a backup.", [{
+            labels: "",
+            value: storeEra,
+        }]),
         createGauge("vanillarouter_members", "VMs that are listed.", [{ labels: "", value: cluster.memberList.length }]),
         createGauge("vanillarouter_upstream_connections", "Open connections.", pools.all.map(pool => ({ labels: label(pool), value: pool.connectionCount }))),
         createGauge(
