Reproduce the change that is not in force after the store came back from a backup

The stand-in of the store can now go back to a backup: it loses later writes and leases, gives out their revisions and ids again and counts its era, which all its responses name. A watch from a revision that it does not have is answered with 410, and an unknown lease with 404.

--- a/packages/standins/src/line/lineStore.ts
+++ b/packages/standins/src/line/lineStore.ts
@@ -1,6 +1,9 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo, Socket } from "node:net";
 
+const renewalPath = "/-/kv-keep/";
+const leaseTtlMs = 10_000;
+
 interface StoredItem {
     readonly key: string;
     readonly value: string;
@@ -17,6 +20,14 @@
     readonly drop: readonly string[];
 }
 
+/** What the store held at one moment. */
+interface StoreBackup {
+    readonly revision: number;
+    readonly lease: number;
+    readonly items: readonly StoredItem[];
+    readonly leases: readonly number[];
+}
+
 /** Stand-in for the platform's store and its promotion endpoint, served over HTTP, with faults that a test sets. */
 export class LineStore {
     /** Requests that arrive while this is true never get a response, not even after it is reset. */
@@ -26,10 +37,12 @@
     /** The requested promotions, each with its fencing token. */
     public readonly promotions: { readonly service: string; readonly id: string; readonly fenceToken: number; }[] = [];
     public requestCount = 0;
+    private era = 1;
     private revision = 1;
     private lease = 1;
+    private readonly leases = new Set<number>();
     private readonly items = new Map<string, StoredItem>();
-    private readonly events: StoreEvent[] = [];
+    private events: StoreEvent[] = [];
     private readonly openSockets = new Set<Socket>();
     private readonly silencedSockets = new WeakSet<Socket>();
     private readonly pendingWatches = new Map<() => void, () => void>();
@@ -68,6 +81,28 @@
         this.notifyWatches();
     }
 
+    public createBackup(): StoreBackup {
+        return { revision: this.revision, lease: this.lease, items: [...this.items.values()], leases: [...this.leases] };
+    }
+
+    /**
+     * Goes back to a backup: later writes and leases are lost, and their revisions and ids are given out again. All connections
+     * are closed unless `keepsConnections` is set; waiting watches then continue in the new era.
+     */
+    public restore(backup: StoreBackup, keepsConnections = false): void {
+        this.era++;
+        this.revision = backup.revision;
+        this.lease = backup.lease;
+        this.items.clear();
+        for (const item of backup.items) this.items.set(item.key, item);
+        this.leases.clear();
+        for (const lease of backup.leases) this.leases.add(lease);
+        this.events = this.events.filter(event => event.revision <= backup.revision);
+        if (keepsConnections) return;
+        for (const cancelWatch of [...this.pendingWatches.values()]) cancelWatch();
+        this.server.closeAllConnections();
+    }
+
     public get keys(): readonly string[] {
         return [...this.items.keys()];
     }
@@ -100,16 +135,26 @@
         if (this.isSilent || this.silencedSockets.has(req.socket)) return;
         const url = new URL(req.url ?? "/", "http://store");
         const respond = (status: number, body: unknown): void => {
-            if (!res.writableEnded) res.writeHead(status, { "Content-Type": "application/json" }).end(JSON.stringify(body));
+            if (!res.writableEnded) res.writeHead(status, { "Content-Type": "application/json", "Store-Era": String(this.era) }).end(JSON.stringify(body));
         };
         const route = `${req.method} ${url.pathname}`;
         if (route === "GET /-/kv-watch") return this.watch(url.searchParams, respond);
         if (route === "GET /-/kv-range") return this.readRange(url.searchParams, respond);
         if (route === "GET /-/kv-key") return this.readKey(url.searchParams, respond);
         if (route === "POST /-/kv-txn") return this.commit(JSON.parse(text) as Transaction, respond);
-        if (route === "POST /-/kv-lease") return respond(200, { lease: ++this.lease, ttl_ms: 10_000 });
+        if (route === "POST /-/kv-lease") return this.grantLease(respond);
+        if (url.pathname.startsWith(renewalPath)) return this.renewLease(Number(url.pathname.slice(renewalPath.length)), respond);
         if (route === "POST /promote") return this.promote(req, JSON.parse(text) as { service: string; id: string; }, respond);
-        respond(200, { ttl_ms: 10_000 });
+        respond(200, {});
+    }
+
+    private grantLease(respond: (status: number, body: unknown) => void): void {
+        this.leases.add(++this.lease);
+        respond(200, { lease: this.lease, ttl_ms: leaseTtlMs });
+    }
+
+    private renewLease(lease: number, respond: (status: number, body: unknown) => void): void {
+        respond(this.leases.has(lease) ? 200 : 404, { ttl_ms: leaseTtlMs });
     }
 
     private promote(req: IncomingMessage, body: { readonly service: string; readonly id: string; }, respond: (status: number, body: unknown) => void): void {
@@ -131,6 +176,7 @@
     private commit(transaction: Transaction, respond: (status: number, body: unknown) => void): void {
         const isExpectationMet = transaction.expect.every(expectation => (this.items.get(expectation.key)?.revision ?? 0) === expectation.revision);
         if (!isExpectationMet) return respond(412, { items: [] });
+        if (transaction.puts.some(put => put.lease !== undefined && put.lease !== 0 && !this.leases.has(put.lease))) return respond(404, {});
         for (const put of transaction.puts) this.write(put.key, put.value, put.lease ?? 0);
         respond(200, { revision: this.revision });
         this.notifyWatches();
@@ -138,7 +184,7 @@
 
     private watch(query: URLSearchParams, respond: (status: number, body: unknown) => void): void {
         const after = Number(query.get("after"));
-        if (after < this.oldestRevision) return respond(410, {});
+        if (after < this.oldestRevision || after > this.revision) return respond(410, {});
         const prefix = query.get("prefix") ?? "";
         const respondIfChanged = (): boolean => {
             const events = this.events.filter(event => event.revision > after && event.key.startsWith(prefix));
