Compare revisions of the store within one era only

Cause: revisions were taken as a counter that never goes back. ClusterFeed dropped each change whose revision was not higher than the last one applied to its key, and a watch that outlived the restore continued from a revision of the lost history. The same comparison stood in the changes passed on between VMs.

Now a position of the store is an era and a revision. Followers and watchers exchange the era, and changes of another era are declined, so the follower reads the store. A VM of an older build names no era: its polls are declined and its changes are not used, so during an upgrade those VMs watch the store.

The version of a configuration still decides within a VM, so the older one in the backup reverts nothing.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -4,6 +4,7 @@
 import { MemberEntry } from "@vanillarouter/session/model/memberEntry";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { StoreChanges } from "@vanillarouter/session/model/storeChanges";
+import { StorePosition } from "@vanillarouter/session/model/storePosition";
 import { RelayGateways } from "./relayGateways";
 import { RelayResponse } from "./relayResponse";
 
@@ -24,42 +25,43 @@
         private readonly gateways: RelayGateways,
         private readonly clock: Clock,
         private readonly zone: string,
-        private readonly readItem: (key: string) => Operation<StoreChange | undefined>,
+        private readonly readItem: (key: string, era: number) => Operation<StoreChange | undefined>,
     ) {}
 
-    /** `readItem` reads one item from the store; it returns undefined if the store does not respond. */
+    /** `readItem` reads one item of an era from the store; it returns undefined if the store does not respond or has another era. */
     public static create(
         watchers: StoreWatchers,
         gateways: RelayGateways,
         clock: Clock,
         zone: string,
-        readItem: (key: string) => Operation<StoreChange | undefined>,
+        readItem: (key: string, era: number) => Operation<StoreChange | undefined>,
     ): ChangeFollower {
         return new ChangeFollower(watchers, gateways, clock, zone, readItem);
     }
 
-    /** Returns the next changes after a revision; undefined if this VM has to read them from the store itself. */
-    public *follow(after: number): Operation<StoreChanges | undefined> {
+    /** Returns the next changes after a position; undefined if this VM has to read them from the store itself. */
+    public *follow(after: StorePosition): Operation<StoreChanges | undefined> {
         if (this.watchers.includesSelf) return undefined;
         for (const watcher of this.listUsable().slice(0, maxAttempts)) {
             const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
-            const response = yield* link?.poll(longPollMs + responseMarginMs, call => ({ kind: "follow", call, after, waitMs: longPollMs }))
-                ?? noResponse();
-            if (response?.kind === "changes") return yield* this.readLargeItems(response);
+            const response =
+                yield* link?.poll(longPollMs + responseMarginMs, call => ({ kind: "follow", call, era: after.era, after: after.revision, waitMs: longPollMs }))
+                    ?? noResponse();
+            if (response?.kind === "changes" && response.era === after.era) return yield* this.readLargeItems(response, after.era);
             this.avoidedUntil.set(watcher.id, this.clock.now() + avoidanceMs);
         }
         return undefined;
     }
 
     /** Reads the items that were too large to send. Returns undefined if the store does not respond. */
-    private *readLargeItems(response: ChangesResponse): Operation<StoreChanges | undefined> {
+    private *readLargeItems(response: ChangesResponse, era: number): Operation<StoreChanges | undefined> {
         const changes: StoreChange[] = [];
         for (const { key, text, isLarge, revision } of response.changes) {
-            const change = isLarge === true ? yield* this.readItem(key) : { key, text, revision };
+            const change = isLarge === true ? yield* this.readItem(key, era) : { key, text, revision };
             if (change === undefined) return undefined;
             changes.push(change);
         }
-        return { changes, revision: response.revision };
+        return { changes, position: { era, revision: response.revision } };
     }
 
     /** Returns the watchers that can be asked, those in this VM's zone first. */
--- a/packages/relay/src/changeLog.ts
+++ b/packages/relay/src/changeLog.ts
@@ -4,6 +4,7 @@
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { StoreChanges } from "@vanillarouter/session/model/storeChanges";
+import { StorePosition } from "@vanillarouter/session/model/storePosition";
 
 /** Number of changes kept for the VMs that follow this one. A VM that is further behind reads the store. */
 const maxChanges = 500;
@@ -11,6 +12,7 @@
 /** The latest changes of the store that this VM has seen, kept for the VMs that follow it. */
 export class ChangeLog {
     private changes: StoreChange[] = [];
+    private era = 0;
     /** The log holds the latest change of every key changed after this revision. */
     private completeAfter = Number.POSITIVE_INFINITY;
     private latestRevision = 0;
@@ -23,21 +25,22 @@
         return new ChangeLog(clock);
     }
 
-    /** Clears the log after the whole store has been read as of `revision`. */
-    public reset(revision: number): void {
+    /** Clears the log after the whole store has been read as of a position. */
+    public reset({ era, revision }: StorePosition): void {
         this.changes = [];
+        this.era = era;
         this.completeAfter = revision;
         this.latestRevision = revision;
         this.isConnected = true;
         this.changed.notifyAll();
     }
 
-    /** Adds changes. Only the latest change of a key is kept, because configurations are large and may change in quick succession. */
+    /** Adds changes of the era of the last reset. Only the latest change of a key is kept, because configurations are large and may change in quick succession. */
     public append(appended: StoreChanges): void {
         const keys = new Set(appended.changes.map(change => change.key));
         const latest = new Map(appended.changes.map(change => [change.key, change]));
         this.changes = [...this.changes.filter(change => !keys.has(change.key)), ...appended.changes.filter(change => latest.get(change.key) === change)];
-        this.latestRevision = Math.max(this.latestRevision, appended.revision);
+        this.latestRevision = Math.max(this.latestRevision, appended.position.revision);
         const dropped = this.changes.splice(0, Math.max(0, this.changes.length - maxChanges));
         this.completeAfter = dropped.at(-1)?.revision ?? this.completeAfter;
         if (appended.changes.length > 0) this.changed.notifyAll();
@@ -49,8 +52,8 @@
         this.changed.notifyAll();
     }
 
-    /** Waits up to `waitMs` for changes after a revision. Returns undefined if the log lacks some of them or this VM has lost the store. */
-    public *waitForChangesAfter(after: number, waitMs: number): Operation<StoreChanges | undefined> {
+    /** Waits up to `waitMs` for changes after a position. Returns undefined if the log lacks some of them or this VM has lost the store. */
+    public *waitForChangesAfter(after: StorePosition, waitMs: number): Operation<StoreChanges | undefined> {
         const deadline = this.clock.now() + waitMs;
         for (;;) {
             const found = this.findChangesAfter(after);
@@ -60,8 +63,9 @@
         }
     }
 
-    private findChangesAfter(after: number): StoreChanges | undefined {
-        if (!this.isConnected || after < this.completeAfter) return undefined;
-        return { changes: this.changes.filter(change => change.revision > after), revision: Math.max(after, this.latestRevision) };
+    private findChangesAfter({ era, revision }: StorePosition): StoreChanges | undefined {
+        if (!this.isConnected || era !== this.era || revision < this.completeAfter) return undefined;
+        const changes = this.changes.filter(change => change.revision > revision);
+        return { changes, position: { era, revision: Math.max(revision, this.latestRevision) } };
     }
 }
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -179,12 +179,12 @@
 test("a long poll outlasts the silence timeout of calls, and transfers text outside Latin-1", async context => {
     const bed = await startBed(context, 1);
     const { changeLog } = bed.find("g1");
-    changeLog.reset(5);
+    changeLog.reset({ era: 1, revision: 5 });
     const link = (await bed.run(bed.relayGateways.getOrCreate(bed.findMember("g1")).obtainLink()))!;
-    const waiting = bed.run(link.poll(6_000, call => ({ kind: "follow", call, after: 5, waitMs: 5_000 })));
+    const waiting = bed.run(link.poll(6_000, call => ({ kind: "follow", call, era: 1, after: 5, waitMs: 5_000 })));
     await wait(4_000);
-    changeLog.append({ changes: [{ key: "k", text: "\u0161tevilo", revision: 6 }], revision: 6 });
-    assert.deepEqual(await waiting, { kind: "changes", call: 1, changes: [{ key: "k", text: "\u0161tevilo", revision: 6 }], revision: 6 });
+    changeLog.append({ changes: [{ key: "k", text: "\u0161tevilo", revision: 6 }], position: { era: 1, revision: 6 } });
+    assert.deepEqual(await waiting, { kind: "changes", call: 1, changes: [{ key: "k", text: "\u0161tevilo", revision: 6 }], era: 1, revision: 6 });
 });
 
 // Guards against watchers whose link is saturated because they send a large configuration to each follower.
@@ -192,17 +192,20 @@
     const bed = await startBed(context, 1);
     const { changeLog } = bed.find("g1");
     const large = "x".repeat(RelayLimits.maxInlineTextLength + 1);
-    changeLog.reset(5);
-    changeLog.append({ changes: [{ key: "large", text: large, revision: 6 }, { key: "small", text: "v", revision: 7 }], revision: 7 });
+    changeLog.reset({ era: 1, revision: 5 });
+    changeLog.append({ changes: [{ key: "large", text: large, revision: 6 }, { key: "small", text: "v", revision: 7 }], position: { era: 1, revision: 7 } });
     const read: string[] = [];
     const follow = (stored: string | undefined): Promise<StoreChanges | undefined> =>
         bed.run(
             bed.createFollower(function*(key) {
                 read.push(key);
                 return stored === undefined ? undefined : { key, text: stored, revision: 8 };
-            }).follow(5),
+            }).follow({ era: 1, revision: 5 }),
         );
-    assert.deepEqual(await follow("new"), { changes: [{ key: "large", text: "new", revision: 8 }, { key: "small", text: "v", revision: 7 }], revision: 7 });
+    assert.deepEqual(await follow("new"), {
+        changes: [{ key: "large", text: "new", revision: 8 }, { key: "small", text: "v", revision: 7 }],
+        position: { era: 1, revision: 7 },
+    });
     assert.deepEqual(read, ["large"]);
     assert.equal(await follow(undefined), undefined);
 });
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -82,12 +82,13 @@
 
     /** Responds to a long poll with the changes of the store that this VM has seen. */
     public *follow(message: FollowRequest): Operation<RelayResponse> {
-        const latest = yield* this.changeLog.waitForChangesAfter(message.after, message.waitMs);
-        if (latest === undefined) return { kind: "declined", call: message.call };
+        const { call, era, after, waitMs } = message;
+        const latest = era === undefined ? undefined : yield* this.changeLog.waitForChangesAfter({ era, revision: after }, waitMs);
+        if (latest === undefined) return { kind: "declined", call };
         const changes = latest.changes.map(({ key, text, revision }) =>
             text !== undefined && text.length > RelayLimits.maxInlineTextLength ? { key, isLarge: true, revision } : { key, text, revision }
         );
-        return { kind: "changes", call: message.call, changes, revision: latest.revision };
+        return { kind: "changes", call, changes, era, revision: latest.position.revision };
     }
 
     /** Rolls back a transaction, after its statement if one is running. A transaction that has committed is not affected. */
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -58,7 +58,10 @@
     }),
     z.object({ kind: z.literal("roll-back"), transaction: z.number() }),
     z.object({ kind: z.literal("check"), call: z.number(), service: z.string() }),
-    /** Long poll for changes of the store after a revision, for which the response is due within `waitMs`. */
-    z.object({ kind: z.literal("follow"), call: z.number(), after: z.number(), waitMs: z.number().max(maxWaitMs) }),
+    /**
+     * Long poll for changes of the store after a revision of an era, for which the response is due within `waitMs`. It is declined without
+     * an era, because the revision may be one of a history that the store has lost.
+     */
+    z.object({ kind: z.literal("follow"), call: z.number(), era: z.number().optional(), after: z.number(), waitMs: z.number().max(maxWaitMs) }),
     z.object({ kind: z.literal("ping") }),
 ]);
--- a/packages/relay/src/relayResponseSchema.ts
+++ b/packages/relay/src/relayResponseSchema.ts
@@ -26,6 +26,8 @@
         call: z.number(),
         /** `isLarge` replaces a text that is too long to send; the follower reads it from the store. */
         changes: z.array(z.object({ key: z.string(), text: z.string().optional(), isLarge: z.boolean().optional(), revision: z.number() })),
+        /** Era of the changes; a follower does not use changes without one. */
+        era: z.number().optional(),
         /** Revision from which the follower continues. */
         revision: z.number(),
     }),
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -91,7 +91,7 @@
     }
 
     /** Creates a follower on the entry VM that treats all gateways as watchers. */
-    public createFollower(readItem: (key: string) => Operation<StoreChange | undefined>): ChangeFollower {
+    public createFollower(readItem: (key: string, era: number) => Operation<StoreChange | undefined>): ChangeFollower {
         const members = this.gateways.map(gateway => this.findMember(gateway.id));
         const watchers = { includesSelf: false, list: () => members } as unknown as StoreWatchers;
         return ChangeFollower.create(watchers, this.relayGateways, this.clock, "z1", readItem);
--- a/packages/session/src/model/storeChanges.ts
+++ b/packages/session/src/model/storeChanges.ts
@@ -1,7 +1,8 @@
 import { StoreChange } from "./storeChange";
+import { StorePosition } from "./storePosition";
 
-/** Changes in the order in which they were made, and the revision from which to continue watching. */
+/** Changes of one era in the order in which they were made, and the position from which to continue watching. */
 export interface StoreChanges {
     readonly changes: readonly StoreChange[];
-    readonly revision: number;
+    readonly position: StorePosition;
 }
--- a/packages/standins/src/line/lineStore.ts
+++ b/packages/standins/src/line/lineStore.ts
@@ -37,7 +37,8 @@
     /** The requested promotions, each with its fencing token. */
     public readonly promotions: { readonly service: string; readonly id: string; readonly fenceToken: number; }[] = [];
     public requestCount = 0;
-    private era = 1;
+    /** Number of the store's history, which all responses name. `restore` increases it. */
+    public era = 1;
     private revision = 1;
     private lease = 1;
     private readonly leases = new Set<number>();
