--- a/packages/session/src/failover/promotion.test.ts
+++ b/packages/session/src/failover/promotion.test.ts
@@ -67,3 +67,14 @@
     assert.equal(bed.fakeGroup.find("u1").isPrimary, false);
     assert.equal(bed.fakeGroup.promotions.length, 1);
 });
+
+// Guards against two promotions at once: the claim is gone if the store came back from an older backup, and another VM may take it.
+test("a claim of a history that the store has lost is not used", () => {
+    const bed = TestBed.create();
+    bed.group.primaryTracker.recordPrimary("u1", 1);
+    bed.fakeGroup.find("u1").isUnresponsive = true;
+    const reports = bed.run(collectStatusReports(bed));
+    bed.onClaimTaken = () => bed.isClaimCurrent = false;
+    assert.equal(bed.run(bed.createPromotion().run(reports, "u1", "test")), false);
+    assert.deepEqual(bed.fakeGroup.promotions, []);
+});
--- a/packages/session/src/failover/promotion.ts
+++ b/packages/session/src/failover/promotion.ts
@@ -67,7 +67,10 @@
             this.context.log.warn({ service, term, silent: unresponsive.map(report => report.pool.upstream.id) }, "promotion.fence-incomplete");
             return false;
         }
-        const isClaimValid = (): boolean => this.context.suspension.check() === generation && this.context.clock.now() - startedAt <= claimValidMs;
+        const isClaimValid = (): boolean =>
+            this.context.suspension.check() === generation
+            && this.context.clock.now() - startedAt <= claimValidMs
+            && this.context.claims.isCurrent(fenceToken);
         if (!isClaimValid()) {
             this.context.log.warn({ service, term, elapsedMs: Math.round(this.context.clock.now() - startedAt) }, "promotion.claim-expired");
             return false;
--- a/packages/session/src/model/promotionClaims.ts
+++ b/packages/session/src/model/promotionClaims.ts
@@ -7,4 +7,6 @@
      * the claim first, if the previous claim is younger than `minAgeMs`, or if the store does not respond.
      */
     take(service: string, minAgeMs: number): Operation<number | undefined>;
+    /** Whether the store still has the history in which the claim was taken. Another VM may take it anew otherwise. */
+    isCurrent(fenceToken: number): boolean;
 }
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -52,6 +52,8 @@
     public readonly session = SessionValues.create();
     /** Fencing token of the next claim; undefined makes taking a claim fail. */
     public nextFenceToken: number | undefined = 1;
+    /** Whether the store still has the history in which claims were taken. */
+    public isClaimCurrent = true;
     /** Called when a claim is taken, before it is used. */
     public onClaimTaken: () => void = () => {};
 
@@ -76,6 +78,7 @@
             *take(): Operation<number | undefined> {
                 return take();
             },
+            isCurrent: (): boolean => this.isClaimCurrent,
         };
         const promoter = {
             *promote(_service: string, id: string): Operation<boolean> {
