Hold back entries of a backup that show an upstream in an earlier state than known

What callers could see: statements sent to an upstream that had reported that it was leaving, or that had left, because the store came back from a backup in which it is still listed as ready; or, after a failover, the roles of before.

Cause: what the restored store holds was applied like any change, although the VM knew better. And an entry that the backup lacks counted as the upstream having left, so a leaving one was dropped although it only has to register again.

Each entry carries the number of the report that wrote it, which the upstream counts itself. In the first read of a new era an entry of an earlier report than the one known (also of an upstream that left within the last minute) is held back for 6 s; a newer one replaces it, and without any the entry is used, so that an upstream that had only expired is not lost. An entry that the backup lacks is missing, not gone, for the usual grace period.

--- a/packages/session/src/cluster/clusterState.test.ts
+++ b/packages/session/src/cluster/clusterState.test.ts
@@ -72,3 +72,55 @@
     cluster.removeUpstream("u1");
     assert.equal(cluster.findUpstream("u1"), undefined);
 });
+
+// Guards against new work for an upstream that is leaving or has left, because a backup of the store lists it as it was before.
+test("an entry from a backup is held back if a later state of the upstream is known", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create(own, clock);
+    const [leaving, gone] = [{ ...upstream, id: "u1", reportNumber: 7, isLeaving: true }, { ...upstream, id: "u2", reportNumber: 7, isLeaving: true }];
+    for (const entry of [leaving, gone]) {
+        cluster.putUpstream({ ...entry, reportNumber: 4, isLeaving: false });
+        cluster.putUpstream(entry);
+    }
+    cluster.removeUpstream("u2");
+    for (const { id } of [leaving, gone]) assert.equal(cluster.putRestoredUpstream({ ...upstream, id, reportNumber: 4 }), false);
+    assert.deepEqual(cluster.listUpstreams("s"), [leaving]);
+    cluster.putUpstream({ ...leaving, reportNumber: 8 });
+    cluster.removeUpstream("u2");
+    clock.advance(20_000);
+    cluster.dropMissing();
+    assert.deepEqual(cluster.listUpstreams("s").map(({ isLeaving }) => isLeaving), [true]);
+});
+
+// Guards against an upstream that is never used again, because it had expired while it was silent and the backup has its last report.
+test("a held back entry is used if nothing newer arrives, and one of a later report at once", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create(own, clock);
+    cluster.putUpstream({ ...upstream, reportNumber: 4 });
+    cluster.removeUpstream("u1");
+    clock.advance(3_000);
+    cluster.dropMissing();
+    assert.equal(cluster.putRestoredUpstream({ ...upstream, reportNumber: 4 }), false);
+    assert.equal(cluster.findUpstream("u1"), undefined);
+    clock.advance(10_000);
+    cluster.dropMissing();
+    assert.equal(cluster.findUpstream("u1")?.reportNumber, 4);
+    for (const next of [{ reportNumber: 5 }, { startedAtMs: 2, reportNumber: 1 }]) {
+        assert.equal(cluster.putRestoredUpstream({ ...upstream, ...next }), true);
+    }
+});
+
+// Guards against a leaving upstream whose statements end early because a backup lacks its entry.
+test("a leaving upstream that a backup lacks is kept for the grace period", () => {
+    const clock = ManualClock.create();
+    const cluster = ClusterState.create(own, clock);
+    cluster.putUpstream({ ...upstream, isLeaving: true });
+    cluster.markUpstreamMissing("u1");
+    // The store is read once more within the grace period.
+    cluster.removeUpstream("u1");
+    cluster.dropMissing();
+    assert.ok(cluster.findUpstream("u1") !== undefined);
+    clock.advance(3_000);
+    cluster.dropMissing();
+    assert.equal(cluster.findUpstream("u1"), undefined);
+});
--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -6,6 +6,7 @@
 import { WorkClass } from "../model/workClass";
 import { ClusterView } from "./clusterView";
 import { GatewayAssignment } from "./gatewayAssignment";
+import { OutdatedUpstreams } from "./outdatedUpstreams";
 
 /** Time for which a missing upstream is kept. If its entry expires during a store outage, it registers again within two seconds of the end of the outage. */
 const missingUpstreamGraceMs = 2_300;
@@ -28,6 +29,7 @@
     private appliedAt = 0;
     private readonly upstreams = new Map<string, UpstreamEntry>();
     private readonly upstreamsMissingSince = new Map<string, number>();
+    private readonly outdatedUpstreams: OutdatedUpstreams;
     private readonly members = new Map<string, MemberEntry>();
     private readonly membersMissingSince = new Map<string, number>();
     private changeCount = 0;
@@ -38,6 +40,7 @@
     private constructor(private readonly own: MemberEntry, private readonly clock: Clock) {
         this.members.set(own.id, own);
         this.gateways = GatewayAssignment.create(this);
+        this.outdatedUpstreams = OutdatedUpstreams.create(clock);
     }
 
     /** `own` describes this VM, which is always in its own member list. */
@@ -107,13 +110,20 @@
         return this.upstreams.get(id);
     }
 
+    /** Adds an entry that a store brought back from a backup, unless a later state of the upstream is known. Returns whether it was added. */
+    public putRestoredUpstream(upstream: UpstreamEntry): boolean {
+        if (this.outdatedUpstreams.defer(upstream, this.upstreams.get(upstream.id))) return false;
+        this.putUpstream(upstream);
+        return true;
+    }
+
     public putUpstream(upstream: UpstreamEntry): void {
+        this.outdatedUpstreams.discard(upstream.id);
         this.upstreamsMissingSince.delete(upstream.id);
         this.trackLeaving(upstream);
         const known = this.upstreams.get(upstream.id);
-        if (known !== undefined && JSON.stringify(known) === JSON.stringify(upstream)) return;
         this.upstreams.set(upstream.id, upstream);
-        this.notifyChange();
+        if (known === undefined || !isSameEntry(known, upstream)) this.notifyChange();
     }
 
     /** Whether an upstream has been leaving for so long that it must get no new work. */
@@ -137,20 +147,29 @@
      * leaving has left, so it is dropped at once.
      */
     public removeUpstream(id: string): void {
-        const upstream = this.upstreams.get(id);
-        if (upstream?.isLeaving === true) this.dropUpstream(id);
-        else if (upstream !== undefined && !this.upstreamsMissingSince.has(id)) this.upstreamsMissingSince.set(id, this.clock.now());
+        this.outdatedUpstreams.discard(id);
+        const isMissing = this.upstreamsMissingSince.has(id);
+        if (this.upstreams.get(id)?.isLeaving === true && !isMissing) this.dropUpstream(id);
+        else this.markUpstreamMissing(id);
+    }
+
+    /** Marks an upstream as missing although it may be leaving: a backup without its entry does not say that it has left. */
+    public markUpstreamMissing(id: string): void {
+        if (this.upstreams.has(id) && !this.upstreamsMissingSince.has(id)) this.upstreamsMissingSince.set(id, this.clock.now());
     }
 
     private dropUpstream(id: string): void {
+        const upstream = this.upstreams.get(id);
+        if (upstream !== undefined) this.outdatedUpstreams.recordDeparture(upstream);
         this.upstreamsMissingSince.delete(id);
         this.upstreams.delete(id);
         this.leavingGraceEnds.delete(id);
         this.notifyChange();
     }
 
-    /** Drops the upstreams and members that have been missing for too long. Must be called several times a second. */
+    /** Drops the upstreams and members that have been missing for too long, and adds held back ones. Must be called several times a second. */
     public dropMissing(): void {
+        for (const upstream of this.outdatedUpstreams.takeDue()) this.putUpstream(upstream);
         for (const [id, since] of this.upstreamsMissingSince) {
             if (this.clock.now() - since < missingUpstreamGraceMs) continue;
             this.dropUpstream(id);
@@ -183,3 +202,8 @@
         this.topologyChanged.notifyAll();
     }
 }
+
+/** Whether two entries say the same, apart from the number of the report. */
+function isSameEntry(first: UpstreamEntry, second: UpstreamEntry): boolean {
+    return JSON.stringify({ ...first, reportNumber: 0 }) === JSON.stringify({ ...second, reportNumber: 0 });
+}
--- a/packages/session/src/model/upstreamEntry.ts
+++ b/packages/session/src/model/upstreamEntry.ts
@@ -11,4 +11,6 @@
     readonly claimsPrimary: boolean;
     /** Unix time in milliseconds at which the upstream started; tells restarts under the same id apart. */
     readonly startedAtMs: number;
+    /** Number of the report that wrote the entry, which starts anew when the upstream does; undefined if the entry has none. */
+    readonly reportNumber?: number;
 }
--- a/packages/standins/src/line/linePlatform.ts
+++ b/packages/standins/src/line/linePlatform.ts
@@ -11,6 +11,7 @@
 /** Stand-in for the whole platform: a store with a configuration, and a database group of three upstreams that is listed as the service `ledger`. */
 export class LinePlatform {
     public readonly group = FakeGroupServers.create();
+    private reportCount = 0;
 
     private constructor(
         public readonly store: LineStore,
@@ -47,6 +48,7 @@
 
     /** Lists all upstreams, with their current roles, in the store. */
     public putUpstreams(): void {
+        this.reportCount++;
         for (const { address, upstream } of this.upstreams) {
             const role = upstream.isPrimary ? "primary" : "replica";
             const entry = {
@@ -57,7 +59,7 @@
                 slots: 4,
                 state: "ready",
                 cold_left_ms: 0,
-                seq: 1,
+                seq: this.reportCount,
                 db_role: role,
                 born: 1,
             };
