Give each document of the configuration a version of its own, so that changes after a restore are in force

What callers could see on the MySQL side: after the store had come back from a backup, a confirmed change of the configuration was not in force on any VM until the store's modify index had passed the indexes of the lost history.

Cause: a shard was replaced only by one of a higher modify index, and the index goes back with the store.

The document now states a version, one above the stored version and the one that the VM which makes the change has in force; the higher of it and the index counts. In a store that never went back that is always the index, so old and new builds agree, and old documents are read as before.

The stand-in can go back to a backup; its blocking queries end then, as Consul's do.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -188,7 +188,13 @@
             readState: () => this.state,
             startDrain: () => this.startDrain(),
         });
-        const writer = ConfigurationEditor.create({ store: this.platform, clock, random, readWallTime: () => Date.now() });
+        const writer = ConfigurationEditor.create({
+            store: this.platform,
+            clock,
+            random,
+            readWallTime: () => Date.now(),
+            findKnownVersion: shard => running.node.replica.find(shard)?.version ?? 0,
+        });
         const onError = (err: unknown): void => logger.error({ err: err instanceof Error ? err.stack : String(err) }, "administration.failed");
         return AdministrationServer.create({ credential: settings.administration.credential, view, writer, onError });
     }
--- a/packages/platform/src/configurationEditor.test.ts
+++ b/packages/platform/src/configurationEditor.test.ts
@@ -28,7 +28,11 @@
     const server = PlatformServer.create({ clock, port: 0 });
     const client = PlatformClient.create({ host: "127.0.0.1", port: await server.listen() });
     try {
-        await body(ConfigurationEditor.create({ store: client, clock, random: SeededRandom.create(7), readWallTime: Date.now }), server, client);
+        await body(
+            ConfigurationEditor.create({ store: client, clock, random: SeededRandom.create(7), readWallTime: Date.now, findKnownVersion: () => 0 }),
+            server,
+            client,
+        );
     }
     finally {
         client.close();
--- a/packages/platform/src/configurationEditor.ts
+++ b/packages/platform/src/configurationEditor.ts
@@ -17,7 +17,6 @@
 import { configurationKeys } from "./configurationKeys";
 import { ConfigurationReceipt } from "./configurationReceipt";
 import { ConfigurationSection } from "./configurationSection";
-import { ConfigurationShard } from "./configurationShard";
 import { createChangeId } from "./createChangeId";
 import { Diagnostics } from "./diagnostics";
 import { formatShard } from "./formatShard";
@@ -26,6 +25,8 @@
 import { parseAuditRecord } from "./parseAuditRecord";
 import { parseShard } from "./parseShard";
 import { shardNames } from "./shardNames";
+import { StoredShard } from "./storedShard";
+import { StoreEntry } from "./storeEntry";
 import { StoreWrite } from "./storeWrite";
 
 interface EditorOptions {
@@ -34,9 +35,11 @@
     readonly random: RandomSource;
     /** Milliseconds since the Unix epoch, for audit records and change ids. */
     readonly readWallTime: () => number;
+    /** Returns the version of a shard that this VM has in force; 0 if it has none. */
+    readonly findKnownVersion: (shard: string) => number;
 }
 
-type ShardMap = ReadonlyMap<string, ConfigurationShard>;
+type ShardMap = ReadonlyMap<string, StoredShard>;
 
 const defaultTimeoutMs = 5_000;
 const callTimeoutMs = 1_500;
@@ -77,7 +80,7 @@
             if (writes.err) return writes;
             const outcome = yield* this.commit(writes.val, changeId, deadline);
             if (outcome.err) return outcome;
-            if (outcome.val.committed) return Ok({ changeId, versions: collectVersions(outcome.val, shards.val) });
+            if (outcome.val.committed) return Ok({ changeId, versions: collectVersions(outcome.val, shards.val, edits) });
             if (this.options.clock.now() >= deadline) {
                 return Err(createFailure(Diagnostics.storeUnreachable, RunOutcome.DidNotRun, "change", "too many conflicts"));
             }
@@ -116,19 +119,23 @@
         if (edits.some(edit => edit.section === ConfigurationSection.Groups)) {
             for (const name of shardNames) names.add(name);
         }
-        const shards = new Map<string, ConfigurationShard>();
+        const shards = new Map<string, StoredShard>();
         for (const name of names) {
             const entry = yield* this.options.store.read(configurationKeys.formatShardKey(name), callTimeoutMs);
             if (entry.err) return entry;
-            const shard = entry.val === undefined
-                ? Ok({ name, version: 0, changeId: "", items: new Map() })
-                : parseShard(name, entry.val.value, entry.val.version);
+            const shard = this.parseStoredShard(name, entry.val);
             if (shard.err) return shard;
             shards.set(name, shard.val);
         }
         return Ok(shards);
     }
 
+    private parseStoredShard(name: string, entry: StoreEntry | undefined): Result<StoredShard, Failure> {
+        const modifyIndex = entry?.version ?? 0;
+        const parsed = entry === undefined ? Ok({ name, version: 0, changeId: "", items: new Map() }) : parseShard(name, entry.value, modifyIndex);
+        return parsed.map(shard => ({ ...shard, modifyIndex, nextVersion: Math.max(shard.version, this.options.findKnownVersion(name)) + 1 }));
+    }
+
     private *findConflicts(shards: ShardMap, edits: readonly ConfigurationEdit[]): Operation<Failure | undefined> {
         const conflicts: ConfigurationConflict[] = [];
         for (const edit of edits) {
@@ -159,8 +166,8 @@
         for (const [name, shard] of shards) {
             const key = configurationKeys.formatShardKey(name);
             const editedShard = edited.get(name);
-            if (editedShard !== undefined) writes.push({ kind: "cas", key, version: shard.version, value: formatShard(editedShard) });
-            else writes.push({ kind: "check", key, version: shard.version });
+            if (editedShard === undefined) writes.push({ kind: "check", key, version: shard.modifyIndex });
+            else writes.push({ kind: "cas", key, version: shard.modifyIndex, value: formatShard({ ...editedShard, version: shard.nextVersion }) });
         }
         const record: AuditRecord = {
             changeId,
@@ -198,11 +205,12 @@
     return shards.get(getShardName(edit.section, edit.name))?.items.get(edit.name);
 }
 
-function collectVersions(outcome: CommitOutcome, shards: ShardMap): ReadonlyMap<string, number> {
+/** Returns the versions that a commit gave to the changed shards. */
+function collectVersions(outcome: CommitOutcome, shards: ShardMap, edits: readonly ConfigurationEdit[]): ReadonlyMap<string, number> {
     const versions = new Map<string, number>();
-    for (const name of shards.keys()) {
-        const version = outcome.versions.get(configurationKeys.formatShardKey(name));
-        if (version !== undefined) versions.set(name, version);
+    for (const name of new Set(edits.map(edit => getShardName(edit.section, edit.name)))) {
+        const modifyIndex = outcome.versions.get(configurationKeys.formatShardKey(name));
+        if (modifyIndex !== undefined) versions.set(name, Math.max(modifyIndex, shards.get(name)!.nextVersion));
     }
     return versions;
 }
--- a/packages/platform/src/parseShard.ts
+++ b/packages/platform/src/parseShard.ts
@@ -8,10 +8,17 @@
 import { Diagnostics } from "./diagnostics";
 import { getShardSection } from "./getShardSection";
 
-const schema = z.object({ changeId: z.string(), items: z.record(z.string(), z.object({ changeId: z.string(), value: z.unknown() })) });
+const schema = z.object({
+    changeId: z.string(),
+    version: z.number().int().optional(),
+    items: z.record(z.string(), z.object({ changeId: z.string(), value: z.unknown() })),
+});
 
-/** Parses the stored text of a shard and validates every item in it. Fails with `shardUnreadable` if it is malformed. */
-export function parseShard(name: string, text: string, version: number): Result<ConfigurationShard, Failure> {
+/**
+ * Parses the text of a shard and validates every item in it. `minVersion` is the store's modify index, or the version with which another
+ * VM sent the shard. Fails with `shardUnreadable` if the text is malformed.
+ */
+export function parseShard(name: string, text: string, minVersion: number): Result<ConfigurationShard, Failure> {
     let document: unknown;
     try {
         document = JSON.parse(text);
@@ -25,5 +32,6 @@
     const section = getShardSection(name);
     const faults = [...items].flatMap(([key, item]) => checkItem(section, key, item.value));
     if (faults.length > 0) return Err(createFailure(Diagnostics.shardUnreadable, RunOutcome.DidNotRun, name, faults.join("; ")));
+    const version = Math.max(minVersion, parsed.data.version ?? 0);
     return Ok({ name, version, changeId: parsed.data.changeId, items });
 }
--- a/packages/standins/src/platformRoutes.ts
+++ b/packages/standins/src/platformRoutes.ts
@@ -75,7 +75,8 @@
             respond();
             return;
         }
-        this.waitForChange(waitMs, () => findCurrentIndex() > index, respond, res);
+        const { restoreCount } = this.store;
+        this.waitForChange(waitMs, () => findCurrentIndex() > index || this.store.restoreCount !== restoreCount, respond, res);
     }
 
     private waitForChange(waitMs: number, hasChanged: () => boolean, respond: () => void, res: ServerResponse): void {
--- a/packages/standins/src/platformStore.ts
+++ b/packages/standins/src/platformStore.ts
@@ -14,6 +14,12 @@
     | { readonly committed: true; readonly values: readonly StoredValue[]; }
     | { readonly committed: false; readonly errors: readonly { readonly index: number; readonly text: string; }[]; };
 
+/** What the store held at one moment. */
+interface PlatformBackup {
+    readonly values: ReadonlyMap<string, StoredValue>;
+    readonly index: number;
+}
+
 /** An in-memory, linearizable key-value store with the semantics of Consul for compare-and-swap, sessions and blocking queries. */
 export class PlatformStore {
     private values = new Map<string, StoredValue>();
@@ -22,6 +28,7 @@
     private readonly waiters = new Set<() => void>();
     private lastIndex = 1;
     private sessionCount = 0;
+    private restores = 0;
 
     private constructor(private readonly clock: Clock, private readonly maxValueBytes: number) {}
 
@@ -34,6 +41,11 @@
         return this.lastIndex;
     }
 
+    /** Number of times that the store came back from a backup. Blocking queries end then, as those of Consul do. */
+    public get restoreCount(): number {
+        return this.restores;
+    }
+
     public get waitingCount(): number {
         return this.waiters.size;
     }
@@ -44,6 +56,18 @@
         else this.staleValues ??= new Map(this.values);
     }
 
+    public createBackup(): PlatformBackup {
+        return { values: new Map(this.values), index: this.lastIndex };
+    }
+
+    /** Goes back to a backup: later writes are lost and their indexes are given out again. Sessions are kept. */
+    public restore(backup: PlatformBackup): void {
+        this.values = new Map(backup.values);
+        this.lastIndex = backup.index;
+        this.restores++;
+        this.notifyWaiters();
+    }
+
     public find(key: string): StoredValue | undefined {
         return (this.staleValues ?? this.values).get(key);
     }
--- a/packages/vm/src/configurationSync.test.ts
+++ b/packages/vm/src/configurationSync.test.ts
@@ -1,11 +1,15 @@
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { Task } from "@vanillarouter/base/task";
+import { ConfigurationEditor } from "@vanillarouter/platform/configurationEditor";
 import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
+import { ConfigurationSection } from "@vanillarouter/platform/configurationSection";
 import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import * as fc from "fast-check";
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { ConfigurationReplica } from "./configurationReplica";
 import { MemoryCluster } from "./testing/memoryCluster";
+import { MemoryPlatformClient } from "./testing/memoryPlatformClient";
 
 const maxPropagationMs = 11_000;
 
@@ -112,6 +116,50 @@
     }, 15);
 });
 
+/** Changes the target through the administration API of a VM, as an operator would, and checks that the change was confirmed. */
+function changeTarget(cluster: MemoryCluster, vmId: string, targetMs: number): void {
+    const { replica } = cluster.nodes.get(vmId)!.node;
+    const editor = ConfigurationEditor.create({
+        store: MemoryPlatformClient.create(cluster.platform, cluster.clock, vmId),
+        clock: cluster.clock,
+        random: SeededRandom.create(targetMs),
+        readWallTime: () => Date.UTC(2026, 11, 4) + targetMs,
+        findKnownVersion: shard => replica.find(shard)?.version ?? 0,
+    });
+    const value = { name: "orders", rank: "urgent", targetMs, readOnly: false };
+    const task = Task.start(editor.apply({ author: "ana", edits: [{ section: ConfigurationSection.Classes, name: "orders", value }] }));
+    cluster.clock.advance(1_000);
+    let isConfirmed = false;
+    task.deliver(result => isConfirmed = result.ok, err => assert.fail(String(err)));
+    assert.ok(isConfirmed);
+}
+
+test("P9: a change made after the store came back from a backup is in force on every VM, and none reverts (guards against versions that go back with the store)", () => {
+    checkSeeds(seed => {
+        const { cluster, countReverts } = startCluster(seed, 2, 4);
+        const backup = cluster.platform.store.createBackup();
+        for (const targetMs of [110, 120, 130]) changeTarget(cluster, "z0-1", targetMs);
+        cluster.clock.advance(maxPropagationMs);
+        assert.deepEqual(new Set(readTargets(cluster)), new Set([130]));
+        cluster.platform.isDown = true;
+        cluster.clock.advance(2_000);
+        cluster.platform.store.restore(backup);
+        cluster.platform.isDown = false;
+        cluster.clock.advance(2_000);
+        assert.deepEqual(new Set(readTargets(cluster)), new Set([130]));
+        for (const targetMs of [140, 150]) {
+            changeTarget(cluster, "z1-1", targetMs);
+            cluster.clock.advance(maxPropagationMs);
+            assert.deepEqual(new Set(readTargets(cluster)), new Set([targetMs]));
+        }
+        const started = cluster.start("z0-9");
+        cluster.clock.advance(5_000);
+        assert.equal(started.node.configuration.current?.classes.get("orders")?.targetMs, 150);
+        assert.equal(countReverts(), 0);
+        cluster.close();
+    }, 5);
+});
+
 test("without faults a change is pushed as a delta, and no VM pulls whole shards (guards against traffic that grows with the configuration)", () => {
     const { cluster } = startCluster(12, 2, 10);
     const countPulls = (): number => [...cluster.nodes.values()].reduce((sum, vm) => sum + vm.peers.pulls, 0);
--- a/packages/vm/src/testing/memoryPlatformClient.ts
+++ b/packages/vm/src/testing/memoryPlatformClient.ts
@@ -52,9 +52,11 @@
         const failure = yield* this.startCall("watch");
         if (failure !== undefined) return Err(failure);
         const deadline = this.clock.now() + waitMs;
+        const { restoreCount } = this.platform.store;
+        const hasChanged = (): boolean => (this.platform.find(this.host, key)?.modifyIndex ?? 0) > index || this.platform.store.restoreCount !== restoreCount;
         this.platform.waitingWatches++;
         try {
-            while (this.isAvailable && index > 0 && (this.platform.find(this.host, key)?.modifyIndex ?? 0) <= index && this.clock.now() < deadline) {
+            while (this.isAvailable && index > 0 && !hasChanged() && this.clock.now() < deadline) {
                 yield* perform<void>({ start: resume => this.platform.store.waitForWrite(Math.min(1_000, deadline - this.clock.now()), () => resume()) });
             }
         }
--- a/packages/vm/src/vmNode.ts
+++ b/packages/vm/src/vmNode.ts
@@ -9,6 +9,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
 import { VmList } from "@vanillarouter/platform/vmList";
 import { Err, Ok, Result } from "ts-results";
@@ -91,7 +92,7 @@
             clock,
             random,
             isRelay,
-            accept: shard => this.configurationSync.accept(shard),
+            accept: shard => this.acceptStored(shard),
             onFailure: (shard, failure) => this.report("storeWatchFailed", { shard, code: failure.code, cause: failure.message }),
         });
         table.onChange((member, before) => this.reportMemberChange(member, before));
@@ -254,6 +255,19 @@
         this.report("memberChanged", { vm: id, zone, state: MemberState[member.state], incarnation, leaving });
     }
 
+    /** Accepts a shard from the store, or reports that the VM knows a later state, as it does when the store came back from a backup. */
+    private acceptStored(shard: ConfigurationShard): void {
+        const known = this.replica.find(shard.name);
+        if (this.configurationSync.accept(shard) || known === undefined || known.version <= shard.version) return;
+        this.report("storeOutdated", {
+            shard: shard.name,
+            version: shard.version,
+            change: shard.changeId,
+            knownVersion: known.version,
+            knownChange: known.changeId,
+        });
+    }
+
     private report(event: string, fields: Readonly<Record<string, unknown>>): void {
         this.options.onEvent?.(event, fields);
     }
