Let a VM that follows the store through others ask two watchers at once

What callers could see in fleets of more than 16 VMs: a confirmed configuration not in force on a VM that itself reaches the store, because the one watcher that it asks is slow, or cut off from the store and does not know it yet: a watch call without a response is given up after four seconds, and the follower took the watcher's silence as "nothing has changed".

A follower now polls two watchers and takes the first response; the positions make a change that arrives twice harmless.

Evidence: the new test of relay.test.ts fails on the previous commit and passes now.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -1,5 +1,6 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
 import { StoreWatchers } from "@vanillarouter/session/cluster/storeWatchers";
 import { MemberEntry } from "@vanillarouter/session/model/memberEntry";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
@@ -13,6 +14,8 @@
 /** After a request that returned no changes, the watcher is skipped for this time. */
 const avoidanceMs = 2_000;
 const maxAttempts = 2;
+/** Watchers that are asked at once, so that changes are not late because one of them is slow, or cut off from the store without knowing it. */
+const watchersPerAttempt = 2;
 
 type ChangesResponse = Extract<RelayResponse, { readonly kind: "changes"; }>;
 
@@ -42,17 +45,26 @@
     /** Returns the next changes after a position; undefined if this VM has to read them from the store itself. */
     public *follow(after: StorePosition): Operation<StoreChanges | undefined> {
         if (this.watchers.includesSelf) return undefined;
-        for (const watcher of this.listUsable().slice(0, maxAttempts)) {
-            const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
-            const response =
-                yield* link?.poll(longPollMs + responseMarginMs, call => ({ kind: "follow", call, era: after.era, after: after.revision, waitMs: longPollMs }))
-                    ?? noResponse();
-            if (response?.kind === "changes" && response.era === after.era) return yield* this.readLargeItems(response, after.era);
-            this.avoidedUntil.set(watcher.id, this.clock.now() + avoidanceMs);
+        for (let attempt = 0; attempt < maxAttempts; attempt++) {
+            const asked = this.listUsable().slice(0, watchersPerAttempt);
+            if (asked.length === 0) return undefined;
+            const response = yield* race(asked.map(watcher => this.poll(watcher, after)));
+            if (response !== undefined) return yield* this.readLargeItems(response, after.era);
         }
         return undefined;
     }
 
+    /** Waits for the changes that a watcher has. Returns undefined if it cannot say, and then skips it for a while. */
+    private *poll(watcher: MemberEntry, after: StorePosition): Operation<ChangesResponse | undefined> {
+        const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
+        const response =
+            yield* link?.poll(longPollMs + responseMarginMs, call => ({ kind: "follow", call, era: after.era, after: after.revision, waitMs: longPollMs }))
+                ?? noResponse();
+        if (response?.kind === "changes" && response.era === after.era) return response;
+        this.avoidedUntil.set(watcher.id, this.clock.now() + avoidanceMs);
+        return undefined;
+    }
+
     /** Reads the items that were too large to send. Returns undefined if the store does not respond. */
     private *readLargeItems(response: ChangesResponse, era: number): Operation<StoreChanges | undefined> {
         const changes: StoreChange[] = [];
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -210,6 +210,18 @@
     assert.equal(await follow(undefined), undefined);
 });
 
+// Guards against followers that get a change late because their watcher is slow, or cut off from the store without knowing it.
+test("a follower gets a change from a second watcher while the first one knows of none", async context => {
+    const bed = await startBed(context, 2);
+    for (const id of ["g1", "g2"]) bed.find(id).changeLog.reset({ era: 1, revision: 5 });
+    const waiting = bed.run(bed.createFollower(() => assert.fail("no item is large")).follow({ era: 1, revision: 5 }));
+    const position = { era: 1, revision: 6 };
+    bed.find("g2").changeLog.append({ changes: [{ key: "k", text: "v", revision: 6 }], position });
+    const maxDelayMs = 3_000;
+    const changes = await Promise.race([waiting, wait(maxDelayMs)]);
+    assert.deepEqual(changes, { changes: [{ key: "k", text: "v", revision: 6 }], position });
+});
+
 // Guards against a message that stops a gateway: whatever arrives on one link, the other links are served.
 test("messages that no VM sends end at most their own link", async context => {
     const bed = await startBed(context, 1);
