Give a transaction that begins late in a shutdown time to end

Cause: half of the grace period after SIGTERM every open transaction ends, also one of a few milliseconds. Connections of callers without a statement so far stay open until then, so that their first operation can run.

A transaction now stays open for at least 1.5 s.

--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -34,6 +34,8 @@
     private readonly sessionValues = SessionValues.create();
     private readonly floors = FloorTable.create();
     private transaction: CallerTransaction | undefined;
+    /** Local time in milliseconds at which the latest transaction began. */
+    private transactionBegunAt = 0;
     private lastStatementEndedOperation = false;
 
     private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {}
@@ -90,7 +92,7 @@
     private *waitForStatement(): Operation<CallerStatement | undefined> {
         const events: Operation<CallerStatement | undefined>[] = [this.channel.receive()];
         if (this.isBetweenOperations) events.push(this.context.shutdown.waitForIdleClose());
-        else if (this.transactionState === TransactionState.Idle) events.push(this.context.shutdown.waitForTransactionClose());
+        else if (this.transactionState === TransactionState.Idle) events.push(this.context.shutdown.waitForUnfinishedClose());
         else events.push(this.waitForTransactionAbort());
         return yield* race(events);
     }
@@ -98,7 +100,7 @@
     /** Waits until the open transaction must be aborted: the caller left it idle for too long, or the VM's shutdown cannot wait for it. */
     private *waitForTransactionAbort(): Operation<undefined> {
         const idleMs = this.context.cluster.configuration?.transactionIdleMs;
-        const events: Operation<unknown>[] = [this.context.shutdown.waitForTransactionClose()];
+        const events: Operation<unknown>[] = [this.context.shutdown.waitForTransactionClose(this.transactionBegunAt)];
         if (idleMs !== undefined && idleMs > 0) events.push(sleep(this.context.clock, idleMs));
         yield* race(events);
         return undefined;
@@ -143,6 +145,7 @@
         const req = this.createRequest(statement, workClass, receivedAt, statement.readOnly, true);
         this.transaction = this.context.executors.select(workClass.service).openTransaction(req);
         this.transactionState = TransactionState.Open;
+        this.transactionBegunAt = receivedAt;
         this.sendEmptySuccess();
     }
 
--- a/packages/session/src/entry/shutdown.ts
+++ b/packages/session/src/entry/shutdown.ts
@@ -5,6 +5,8 @@
 
 /** Time before an idle session ends, in which a busy process reads the statements that have already arrived in its sockets. */
 const finalReadMs = 50;
+/** Time for which a transaction stays open at least, so that one which begins late in a shutdown can end. */
+const minTransactionMs = 1_500;
 
 /** Tells caller sessions the stage of a graceful shutdown. */
 export class Shutdown {
@@ -41,7 +43,7 @@
         this.idleClose.notifyAll();
     }
 
-    /** From now on, sessions also end while they wait for their caller with an open transaction, or after a statement that completes no operation. */
+    /** From now on, sessions also end after a statement that completes no operation, or with an open transaction that has had its minimum time. */
     public closeTransactions(): void {
         this.isClosingTransactions = true;
         this.transactionClose.notifyAll();
@@ -54,9 +56,16 @@
         return undefined;
     }
 
-    /** Waits until a session must end that has an open transaction or whose last statement completed no operation. */
-    public *waitForTransactionClose(): Operation<undefined> {
+    /** Waits until a session must end whose last statement completed no operation. */
+    public *waitForUnfinishedClose(): Operation<undefined> {
         if (!this.isClosingTransactions) yield* this.transactionClose.wait();
         return undefined;
     }
+
+    /** Waits until a session must end that has an open transaction. `begunAt` is the local time in milliseconds at which the transaction began. */
+    public *waitForTransactionClose(begunAt: number): Operation<undefined> {
+        yield* this.waitForUnfinishedClose();
+        yield* sleep(this.clock, Math.max(0, begunAt + minTransactionMs - this.clock.now()));
+        return undefined;
+    }
 }
