Ask watchers of two zones for changes, and divide the VMs between the watchers

And all VMs of a zone asked the same watcher, which would send each change to some 290 VMs at the target size.

One watcher is now in another zone, and the order of the watchers differs by VM.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -6,6 +6,7 @@
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { StoreChanges } from "@vanillarouter/session/model/storeChanges";
 import { StorePosition } from "@vanillarouter/session/model/storePosition";
+import { chooseWatchers } from "./chooseWatchers";
 import { RelayGateways } from "./relayGateways";
 import { RelayResponse } from "./relayResponse";
 
@@ -14,8 +15,6 @@
 /** After a request that returned no changes, the watcher is skipped for this time. */
 const avoidanceMs = 2_000;
 const maxAttempts = 2;
-/** Watchers that are asked at once, so that changes are not late because one of them is slow, or cut off from the store without knowing it. */
-const watchersPerAttempt = 2;
 
 type ChangesResponse = Extract<RelayResponse, { readonly kind: "changes"; }>;
 
@@ -27,7 +26,7 @@
         private readonly watchers: StoreWatchers,
         private readonly gateways: RelayGateways,
         private readonly clock: Clock,
-        private readonly zone: string,
+        private readonly self: Pick<MemberEntry, "id" | "zone">,
         private readonly readItem: (key: string, era: number) => Operation<StoreChange | undefined>,
     ) {}
 
@@ -36,17 +35,18 @@
         watchers: StoreWatchers,
         gateways: RelayGateways,
         clock: Clock,
-        zone: string,
+        self: Pick<MemberEntry, "id" | "zone">,
         readItem: (key: string, era: number) => Operation<StoreChange | undefined>,
     ): ChangeFollower {
-        return new ChangeFollower(watchers, gateways, clock, zone, readItem);
+        return new ChangeFollower(watchers, gateways, clock, self, readItem);
     }
 
     /** Returns the next changes after a position; undefined if this VM has to read them from the store itself. */
     public *follow(after: StorePosition): Operation<StoreChanges | undefined> {
         if (this.watchers.includesSelf) return undefined;
         for (let attempt = 0; attempt < maxAttempts; attempt++) {
-            const asked = this.listUsable().slice(0, watchersPerAttempt);
+            // Two at once, so that changes are not late because one is slow, or cut off from the store without knowing it.
+            const asked = chooseWatchers(this.self, this.listUsable());
             if (asked.length === 0) return undefined;
             const response = yield* race(asked.map(watcher => this.poll(watcher, after)));
             if (response !== undefined) return yield* this.readLargeItems(response, after.era);
@@ -76,11 +76,10 @@
         return { changes, position: { era, revision: response.revision } };
     }
 
-    /** Returns the watchers that can be asked, those in this VM's zone first. */
+    /** Returns the watchers that can be asked. */
     private listUsable(): readonly MemberEntry[] {
         const now = this.clock.now();
-        const usable = this.watchers.list().filter(member => member.relayAddress !== undefined && (this.avoidedUntil.get(member.id) ?? 0) <= now);
-        return usable.sort((first, second) => Number(first.zone !== this.zone) - Number(second.zone !== this.zone));
+        return this.watchers.list().filter(member => member.relayAddress !== undefined && (this.avoidedUntil.get(member.id) ?? 0) <= now);
     }
 }
 
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -94,7 +94,7 @@
     public createFollower(readItem: (key: string, era: number) => Operation<StoreChange | undefined>): ChangeFollower {
         const members = this.gateways.map(gateway => this.findMember(gateway.id));
         const watchers = { includesSelf: false, list: () => members } as unknown as StoreWatchers;
-        return ChangeFollower.create(watchers, this.relayGateways, this.clock, "z1", readItem);
+        return ChangeFollower.create(watchers, this.relayGateways, this.clock, { id: "entry", zone: "z1" }, readItem);
     }
 
     /** Returns a gateway as the entry VM's member list contains it. */
