Let the soak bring the store back from a backup

It is drawn apart, so the other faults of a seed stay what they were. The check that fencing tokens rise was there before.

--- a/packages/bench/src/soak/runSoak.ts
+++ b/packages/bench/src/soak/runSoak.ts
@@ -20,9 +20,18 @@
 /** Connection limit that is too low for all VMs to open upstream connections, so that statements are relayed. */
 const lowConnectionLimit = 6;
 const ampleConnectionsPerVm = 8;
+/** Version of the configuration that is put in force after all faults; higher than any before. */
+const lastVersion = 1_000_000;
 
-/** Runs callers while sequential and overlapping faults are injected, then checks recovery and the final logs. */
-export async function runSoak(seed: number, vmCount: number, durationMs: number): Promise<SoakReport> {
+/** Greatest age of a backup that the store comes back from, and the time for which it is silent before. */
+const maxBackupAgeMs = 3_000;
+const maxRestoreMs = 500;
+
+/**
+ * Runs callers while sequential and overlapping faults are injected, then checks recovery and the final logs. The store comes back from a
+ * backup `restoreCount` times; the other faults of a seed do not depend on that.
+ */
+export async function runSoak(seed: number, vmCount: number, durationMs: number, restoreCount = 0): Promise<SoakReport> {
     const random = SeededRandom.create(seed);
     const fleet = await SoakFleet.create(vmCount, seed % 2 === 0 ? lowConnectionLimit : ampleConnectionsPerVm * vmCount);
     const checker = ConsistencyChecker.create();
@@ -35,7 +44,9 @@
             { length: callersPerVm * vmCount },
             (_, index) => SoakCaller.create(`s${seed}c${index}`, addresses, checker, SeededRandom.create(seed * 1_000 + index)).run(() => isDone),
         );
-        await injectFaults(fleet, random, durationMs, injected);
+        const restores = restoreStore(fleet, SeededRandom.create(-seed), durationMs, restoreCount, injected);
+        await Promise.all([injectFaults(fleet, random, durationMs, injected), restores]);
+        fleet.platform.putConfiguration(lastVersion, "last");
         await checkRecovery(fleet, checker);
         isDone = true;
         await Promise.all(callers);
@@ -72,7 +83,21 @@
     }
     await Promise.all(running.values());
     for (const proxy of [...fleet.upstreamProxies, ...fleet.storeProxies]) proxy.heal();
-    fleet.platform.putConfiguration(version + 1, "last");
+}
+
+async function restoreStore(fleet: SoakFleet, random: SeededRandom, durationMs: number, restoreCount: number, injected: string[]): Promise<void> {
+    const { platform } = fleet;
+    for (let count = 1; count <= restoreCount; count++) {
+        const backupAgeMs = random.next() * Math.min(maxBackupAgeMs, durationMs / restoreCount);
+        await wait(durationMs / restoreCount - backupAgeMs);
+        const backup = platform.store.createBackup();
+        await wait(backupAgeMs);
+        platform.store.isSilent = true;
+        await wait(random.next() * maxRestoreMs);
+        platform.store.isSilent = false;
+        platform.restoreStore(backup, random.next() < 0.5);
+        injected.push(`store restored from a backup of ${Math.round(backupAgeMs)} ms before`);
+    }
 }
 
 async function applyFault(fault: SoakFault, durationMs: number): Promise<void> {
--- a/packages/standins/src/line/linePlatform.ts
+++ b/packages/standins/src/line/linePlatform.ts
@@ -1,6 +1,7 @@
 import { FakeGroupServers } from "@vanillarouter/session/testing/fakeGroupServers";
 import { LineStore } from "./lineStore";
 import { LineUpstream } from "./lineUpstream";
+import { StoreBackup } from "./storeBackup";
 
 const routes = [
     { name: "r1", host: "orders", type: "primary", slo_ms: 200, priority: 0 },
@@ -12,6 +13,7 @@
 export class LinePlatform {
     public readonly group = FakeGroupServers.create();
     private reportCount = 0;
+    private rewriteConfiguration = (): void => {};
 
     private constructor(
         public readonly store: LineStore,
@@ -38,6 +40,7 @@
 
     /** Writes a version of the configuration, with a route to the primary for each additional database. */
     public putConfiguration(version: number, ...databases: readonly string[]): void {
+        this.rewriteConfiguration = () => this.putConfiguration(version, ...databases);
         const addedRoutes = databases.map(host => ({ ...routes[0], name: host, host }));
         const allRoutes = [...routes, ...addedRoutes].map(route => ({ ...route, service: "ledger", timeout_ms: 1_000 }));
         this.store.put(
@@ -67,6 +70,13 @@
         }
     }
 
+    /** Brings the store back from a backup. The operator and the upstreams then write again what is theirs. */
+    public restoreStore(backup: StoreBackup, keepsConnections: boolean): void {
+        this.store.restore(backup, keepsConnections);
+        this.rewriteConfiguration();
+        this.putUpstreams();
+    }
+
     public close(): void {
         this.store.close();
         for (const upstream of this.upstreams) upstream.close();
--- a/packages/standins/src/line/lineStore.ts
+++ b/packages/standins/src/line/lineStore.ts
@@ -1,17 +1,11 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo, Socket } from "node:net";
+import { StoreBackup } from "./storeBackup";
+import { StoredItem } from "./storedItem";
 
 const renewalPath = "/-/kv-keep/";
 const leaseTtlMs = 10_000;
 
-interface StoredItem {
-    readonly key: string;
-    readonly value: string;
-    readonly revision: number;
-    readonly created: number;
-    readonly lease: number;
-}
-
 type StoreEvent = StoredItem | { readonly key: string; readonly revision: number; readonly tombstone: true; };
 
 interface Transaction {
@@ -20,14 +14,6 @@
     readonly drop: readonly string[];
 }
 
-/** What the store held at one moment. */
-interface StoreBackup {
-    readonly revision: number;
-    readonly lease: number;
-    readonly items: readonly StoredItem[];
-    readonly leases: readonly number[];
-}
-
 /** Stand-in for the platform's store and its promotion endpoint, served over HTTP, with faults that a test sets. */
 export class LineStore {
     /** Requests that arrive while this is true never get a response, not even after it is reset. */
