Notice sooner that a VM which watches for others is cut off

Callers of a VM that reaches the store could still be served by an earlier configuration for up to four seconds, with a bound of three, if both watchers that it asks are cut off from the store without an error: a watch without a response was given up after 3 + 1 s.

A watcher that is silent itself is given up after 2 s instead of 2.5; it is pinged every second.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -41,6 +41,11 @@
         return new ChangeFollower(watchers, gateways, clock, self, readItem);
     }
 
+    /** Whether other VMs may get their changes from this one. */
+    public get hasFollowers(): boolean {
+        return this.watchers.hasFollowers;
+    }
+
     /** Returns the next changes after a position; undefined if this VM has to read them from the store itself. */
     public *follow(after: StorePosition): Operation<StoreChanges | undefined> {
         if (this.watchers.includesSelf) return undefined;
--- a/packages/relay/src/relayLink.ts
+++ b/packages/relay/src/relayLink.ts
@@ -17,7 +17,7 @@
 /** A gateway responds to a ping within milliseconds; one that is silent for this long while calls are active is cut off, frozen or very slow. */
 const callSilenceMs = 600;
 /** The same while only long polls are open. It is longer because long polls delay no caller. */
-const longPollSilenceMs = 2_500;
+const longPollSilenceMs = 2_000;
 
 type CallResponse = Extract<RelayResponse, { readonly call: number; }>;
 
--- a/packages/session/src/cluster/storeWatchers.test.ts
+++ b/packages/session/src/cluster/storeWatchers.test.ts
@@ -30,3 +30,15 @@
     assert.equal(watchers.list().some(member => member.id === leaving.id), false);
     assert.equal(watchers.list().filter(member => member.zone === leaving.zone).length, 3);
 });
+
+// Guards against watchers that notice late that they are cut off from the store, because they take themselves for the only one concerned.
+test("a watcher knows that other VMs depend on it", () => {
+    assert.equal(StoreWatchers.create(createCluster(12)).hasFollowers, false);
+    const members = createCluster(65).memberList;
+    const watcherIds = new Set(StoreWatchers.create(createCluster(65)).list().map(({ id }) => id));
+    for (const own of members) {
+        const cluster = ClusterState.create(own, ManualClock.create());
+        for (const member of members) cluster.putMember(member);
+        assert.equal(StoreWatchers.create(cluster).hasFollowers, watcherIds.has(own.id));
+    }
+});
--- a/packages/session/src/cluster/storeWatchers.ts
+++ b/packages/session/src/cluster/storeWatchers.ts
@@ -27,6 +27,11 @@
         return this.list().some(member => member.id === this.cluster.vmId);
     }
 
+    /** Whether other VMs may get their changes from this one. */
+    public get hasFollowers(): boolean {
+        return this.includesSelf && this.list().length < this.cluster.memberList.length;
+    }
+
     /** Returns the VMs that watch the store. */
     public list(): readonly MemberEntry[] {
         if (this.generation === this.cluster.generation) return this.watchers;
