--- a/packages/vm/src/configurationSync.test.ts
+++ b/packages/vm/src/configurationSync.test.ts
@@ -1,3 +1,4 @@
+import { ManualClock } from "@vanillarouter/base/manualClock";
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { Task } from "@vanillarouter/base/task";
 import { ConfigurationEditor } from "@vanillarouter/platform/configurationEditor";
@@ -8,6 +9,8 @@
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
 import { ConfigurationReplica } from "./configurationReplica";
+import { ConfigurationSync } from "./configurationSync";
+import { PeerCalls } from "./peerCalls";
 import { MemoryCluster } from "./testing/memoryCluster";
 import { MemoryPlatformClient } from "./testing/memoryPlatformClient";
 
@@ -160,6 +163,23 @@
     }, 5);
 });
 
+test("a shard of the store that is older than the known one is reported and not accepted (guards against a restore that operators do not notice)", () => {
+    const replica = ConfigurationReplica.create();
+    const outdated: (readonly number[])[] = [];
+    const sync = ConfigurationSync.create({
+        replica,
+        peers: {} as PeerCalls,
+        clock: ManualClock.create(),
+        listNeighbours: () => [],
+        findVm: () => undefined,
+        onRejected: () => assert.fail("nothing is malformed"),
+        onStoreOutdated: (shard, known) => outdated.push([shard.version, known.version]),
+    });
+    for (const version of [4, 7, 7, 5]) sync.acceptStored({ name: "classes", version, changeId: String(version), items: new Map() });
+    assert.deepEqual(outdated, [[5, 7]]);
+    assert.equal(replica.find("classes")?.version, 7);
+});
+
 test("without faults a change is pushed as a delta, and no VM pulls whole shards (guards against traffic that grows with the configuration)", () => {
     const { cluster } = startCluster(12, 2, 10);
     const countPulls = (): number => [...cluster.nodes.values()].reduce((sum, vm) => sum + vm.peers.pulls, 0);
--- a/packages/vm/src/configurationSync.ts
+++ b/packages/vm/src/configurationSync.ts
@@ -23,6 +23,8 @@
      * shard name, version 0 and the source `task`.
      */
     readonly onRejected: (shard: string, version: number, source: string, cause: Failure | string) => void;
+    /** Called when the store holds an earlier state of a shard than `known`, as it does when it came back from a backup. */
+    readonly onStoreOutdated: (shard: ConfigurationShard, known: ConfigurationShard) => void;
 }
 
 /** Time within which a push normally arrives; a pull is started only for a difference that lasts longer. */
@@ -70,6 +72,12 @@
         return true;
     }
 
+    /** Accepts a shard that the store holds if it is newer than the known one, and reports an older one. */
+    public acceptStored(shard: ConfigurationShard): void {
+        const known = this.options.replica.find(shard.name);
+        if (!this.accept(shard) && known !== undefined && known.version > shard.version) this.options.onStoreOutdated(shard, known);
+    }
+
     /**
      * Applies deltas pushed by another VM. Invalid ones are reported to `onRejected`. A newer delta whose base version
      * this VM does not have starts a pull from the sender.
--- a/packages/vm/src/vmNode.ts
+++ b/packages/vm/src/vmNode.ts
@@ -9,7 +9,6 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
-import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
 import { VmList } from "@vanillarouter/platform/vmList";
 import { Err, Ok, Result } from "ts-results";
@@ -84,6 +83,8 @@
             listNeighbours: () => this.listNeighbours(),
             findVm: id => table.find(id)?.vm,
             onRejected: (shard, version, source, cause) => this.report("shardRejected", { shard, version, source, cause }),
+            onStoreOutdated: ({ name, version, changeId }, known) =>
+                this.report("storeOutdated", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId }),
         });
         this.zoneRelay = this.createZoneRelay();
         this.vmListWatcher = VmListWatcher.create({ list: options.list, clock, random, membership: this.membership, isRelay });
@@ -92,7 +93,7 @@
             clock,
             random,
             isRelay,
-            accept: shard => this.acceptStored(shard),
+            accept: shard => this.configurationSync.acceptStored(shard),
             onFailure: (shard, failure) => this.report("storeWatchFailed", { shard, code: failure.code, cause: failure.message }),
         });
         table.onChange((member, before) => this.reportMemberChange(member, before));
@@ -255,19 +256,6 @@
         this.report("memberChanged", { vm: id, zone, state: MemberState[member.state], incarnation, leaving });
     }
 
-    /** Accepts a shard from the store, or reports that the VM knows a later state, as it does when the store came back from a backup. */
-    private acceptStored(shard: ConfigurationShard): void {
-        const known = this.replica.find(shard.name);
-        if (this.configurationSync.accept(shard) || known === undefined || known.version <= shard.version) return;
-        this.report("storeOutdated", {
-            shard: shard.name,
-            version: shard.version,
-            change: shard.changeId,
-            knownVersion: known.version,
-            knownChange: known.changeId,
-        });
-    }
-
     private report(event: string, fields: Readonly<Record<string, unknown>>): void {
         this.options.onEvent?.(event, fields);
     }
