--- a/packages/standins/src/line/lineStore.ts
+++ b/packages/standins/src/line/lineStore.ts
@@ -30,6 +30,7 @@
     private readonly leases = new Set<number>();
     private readonly items = new Map<string, StoredItem>();
     private events: StoreEvent[] = [];
+    private delayCommit: ((transaction: Transaction) => void) | undefined;
     private readonly openSockets = new Set<Socket>();
     private readonly silencedSockets = new WeakSet<Socket>();
     private readonly pendingWatches = new Map<() => void, () => void>();
@@ -56,6 +57,22 @@
         for (const socket of this.openSockets) this.silencedSockets.add(socket);
     }
 
+    /**
+     * The next transaction gets no response. Resolves when it arrives, with a function that executes it if what it expects still
+     * holds then.
+     */
+    public delayNextCommit(): Promise<() => void> {
+        return new Promise(resolve => this.delayCommit = transaction => resolve(() => this.commit(transaction, () => undefined)));
+    }
+
+    /** Ends a lease and removes its items, as if its client had not renewed it in time. */
+    public endLease(lease: number): void {
+        this.leases.delete(lease);
+        for (const item of [...this.items.values()]) {
+            if (item.lease === lease) this.delete(item.key);
+        }
+    }
+
     /** Writes an item directly, as the operator or an upstream would. */
     public put(key: string, text: string): void {
         this.write(key, Buffer.from(text, "utf8").toString("base64"), 0);
@@ -90,6 +107,17 @@
         this.server.closeAllConnections();
     }
 
+    /** Id of the last lease that was granted. */
+    public get lastLease(): number {
+        return this.lease;
+    }
+
+    /** Returns the text of an item; undefined if there is none. */
+    public find(key: string): string | undefined {
+        const item = this.items.get(key);
+        return item === undefined ? undefined : Buffer.from(item.value, "base64").toString("utf8");
+    }
+
     public get keys(): readonly string[] {
         return [...this.items.keys()];
     }
@@ -128,7 +156,7 @@
         if (route === "GET /-/kv-watch") return this.watch(url.searchParams, respond);
         if (route === "GET /-/kv-range") return this.readRange(url.searchParams, respond);
         if (route === "GET /-/kv-key") return this.readKey(url.searchParams, respond);
-        if (route === "POST /-/kv-txn") return this.commit(JSON.parse(text) as Transaction, respond);
+        if (route === "POST /-/kv-txn") return this.receiveCommit(JSON.parse(text) as Transaction, respond);
         if (route === "POST /-/kv-lease") return this.grantLease(respond);
         if (url.pathname.startsWith(renewalPath)) return this.renewLease(Number(url.pathname.slice(renewalPath.length)), respond);
         if (route === "POST /promote") return this.promote(req, JSON.parse(text) as { service: string; id: string; }, respond);
@@ -160,6 +188,12 @@
         respond(item === undefined ? 404 : 200, { ...item, store_revision: this.revision });
     }
 
+    private receiveCommit(transaction: Transaction, respond: (status: number, body: unknown) => void): void {
+        if (this.delayCommit === undefined) return this.commit(transaction, respond);
+        this.delayCommit(transaction);
+        this.delayCommit = undefined;
+    }
+
     private commit(transaction: Transaction, respond: (status: number, body: unknown) => void): void {
         const isExpectationMet = transaction.expect.every(expectation => (this.items.get(expectation.key)?.revision ?? 0) === expectation.revision);
         if (!isExpectationMet) return respond(412, { items: [] });
