Start a change from the shard in force if the store has lost it

What operators saw, by a test: after the store came back from a backup, a change of one class took back the confirmed changes of the other classes of its shard on every VM.

Cause: the editor starts from what the store holds. That it had acknowledged later states of the shard, which the VMs have in force, was not looked at, except for the version of the new state, which made the old items win.

Change: the editor starts from the later of the two, the stored shard and the one that its VM has in force. The compare-and-swap is still on the store's index, so a stale read of the store changes nothing.

The parsing of a store entry stood twice and is parseStoreEntry now.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -193,7 +193,7 @@
             clock,
             random,
             readWallTime: () => Date.now(),
-            findKnownVersion: shard => running.node.replica.find(shard)?.version ?? 0,
+            findKnownShard: name => running.node.replica.find(name),
         });
         const onError = (err: unknown): void => logger.error({ err: err instanceof Error ? err.stack : String(err) }, "administration.failed");
         return AdministrationServer.create({ credential: settings.administration.credential, view, writer, onError });
--- a/packages/platform/src/configurationEditor.test.ts
+++ b/packages/platform/src/configurationEditor.test.ts
@@ -29,7 +29,7 @@
     const client = PlatformClient.create({ host: "127.0.0.1", port: await server.listen() });
     try {
         await body(
-            ConfigurationEditor.create({ store: client, clock, random: SeededRandom.create(7), readWallTime: Date.now, findKnownVersion: () => 0 }),
+            ConfigurationEditor.create({ store: client, clock, random: SeededRandom.create(7), readWallTime: Date.now, findKnownShard: () => undefined }),
             server,
             client,
         );
--- a/packages/platform/src/configurationEditor.ts
+++ b/packages/platform/src/configurationEditor.ts
@@ -17,13 +17,14 @@
 import { configurationKeys } from "./configurationKeys";
 import { ConfigurationReceipt } from "./configurationReceipt";
 import { ConfigurationSection } from "./configurationSection";
+import { ConfigurationShard } from "./configurationShard";
 import { createChangeId } from "./createChangeId";
 import { Diagnostics } from "./diagnostics";
 import { formatShard } from "./formatShard";
 import { getShardName } from "./getShardName";
 import { KeyValueStore } from "./keyValueStore";
 import { parseAuditRecord } from "./parseAuditRecord";
-import { parseShard } from "./parseShard";
+import { parseStoreEntry } from "./parseStoreEntry";
 import { shardNames } from "./shardNames";
 import { StoredShard } from "./storedShard";
 import { StoreEntry } from "./storeEntry";
@@ -35,8 +36,8 @@
     readonly random: RandomSource;
     /** Milliseconds since the Unix epoch, for audit records and change ids. */
     readonly readWallTime: () => number;
-    /** Returns the version of a shard that this VM has in force; 0 if it has none. */
-    readonly findKnownVersion: (shard: string) => number;
+    /** Returns a shard as this VM has it in force; undefined if it has none. */
+    readonly findKnownShard: (name: string) => ConfigurationShard | undefined;
 }
 
 type ShardMap = ReadonlyMap<string, StoredShard>;
@@ -130,10 +131,13 @@
         return Ok(shards);
     }
 
+    /** Returns the state of a shard that a change starts from: the store's, unless the store has lost a later one that is in force on this VM. */
     private parseStoredShard(name: string, entry: StoreEntry | undefined): Result<StoredShard, Failure> {
-        const modifyIndex = entry?.version ?? 0;
-        const parsed = entry === undefined ? Ok({ name, version: 0, changeId: "", items: new Map() }) : parseShard(name, entry.value, modifyIndex);
-        return parsed.map(shard => ({ ...shard, modifyIndex, nextVersion: Math.max(shard.version, this.options.findKnownVersion(name)) + 1 }));
+        const known = this.options.findKnownShard(name);
+        return parseStoreEntry(name, entry).map(stored => {
+            const latest = known !== undefined && known.version > stored.version ? known : stored;
+            return { ...latest, modifyIndex: entry?.version ?? 0 };
+        });
     }
 
     private *findConflicts(shards: ShardMap, edits: readonly ConfigurationEdit[]): Operation<Failure | undefined> {
@@ -167,7 +171,7 @@
             const key = configurationKeys.formatShardKey(name);
             const editedShard = edited.get(name);
             if (editedShard === undefined) writes.push({ kind: "check", key, version: shard.modifyIndex });
-            else writes.push({ kind: "cas", key, version: shard.modifyIndex, value: formatShard({ ...editedShard, version: shard.nextVersion }) });
+            else writes.push({ kind: "cas", key, version: shard.modifyIndex, value: formatShard({ ...editedShard, version: shard.version + 1 }) });
         }
         const record: AuditRecord = {
             changeId,
@@ -210,7 +214,7 @@
     const versions = new Map<string, number>();
     for (const name of new Set(edits.map(edit => getShardName(edit.section, edit.name)))) {
         const modifyIndex = outcome.versions.get(configurationKeys.formatShardKey(name));
-        if (modifyIndex !== undefined) versions.set(name, Math.max(modifyIndex, shards.get(name)!.nextVersion));
+        if (modifyIndex !== undefined) versions.set(name, Math.max(modifyIndex, shards.get(name)!.version + 1));
     }
     return versions;
 }
--- a/packages/vm/src/configurationSync.test.ts
+++ b/packages/vm/src/configurationSync.test.ts
@@ -119,18 +119,18 @@
     }, 15);
 });
 
-/** Changes the target through the administration API of a VM, as an operator would, and checks that the change was confirmed. */
-function changeTarget(cluster: MemoryCluster, vmId: string, targetMs: number): void {
+/** Changes the target of a class through the administration API of a VM, as an operator would, and checks that the change was confirmed. */
+function changeTarget(cluster: MemoryCluster, vmId: string, targetMs: number, name = "orders"): void {
     const { replica } = cluster.nodes.get(vmId)!.node;
     const editor = ConfigurationEditor.create({
         store: MemoryPlatformClient.create(cluster.platform, cluster.clock, vmId),
         clock: cluster.clock,
         random: SeededRandom.create(targetMs),
         readWallTime: () => Date.UTC(2026, 11, 4) + targetMs,
-        findKnownVersion: shard => replica.find(shard)?.version ?? 0,
+        findKnownShard: shard => replica.find(shard),
     });
-    const value = { name: "orders", rank: "urgent", targetMs, readOnly: false };
-    const task = Task.start(editor.apply({ author: "ana", edits: [{ section: ConfigurationSection.Classes, name: "orders", value }] }));
+    const value = { name, rank: "urgent", targetMs, readOnly: false };
+    const task = Task.start(editor.apply({ author: "ana", edits: [{ section: ConfigurationSection.Classes, name, value }] }));
     cluster.clock.advance(1_000);
     let isConfirmed = false;
     task.deliver(result => isConfirmed = result.ok, err => assert.fail(String(err)));
@@ -163,6 +163,28 @@
     }, 5);
 });
 
+/** Starts a cluster, confirms target 110, then 120 and 130 for `orders`, and has the store come back from a backup of in between. */
+function startRestoredCluster(seed: number): MemoryCluster {
+    const { cluster } = startCluster(seed, 2, 4);
+    changeTarget(cluster, "z0-1", 110);
+    const backup = cluster.platform.store.createBackup();
+    for (const targetMs of [120, 130]) changeTarget(cluster, "z0-1", targetMs);
+    cluster.clock.advance(maxPropagationMs);
+    cluster.platform.store.restore(backup);
+    return cluster;
+}
+
+test("P9: a change right after a restore keeps the confirmed changes of other items that the store has lost (guards against a shard that starts from the backup)", () => {
+    checkSeeds(seed => {
+        const cluster = startRestoredCluster(seed);
+        changeTarget(cluster, "z1-1", 210, "views");
+        cluster.clock.advance(maxPropagationMs);
+        assert.deepEqual(new Set(readTargets(cluster)), new Set([130]));
+        for (const vm of cluster.nodes.values()) assert.equal(vm.node.configuration.current?.classes.get("views")?.targetMs, 210);
+        cluster.close();
+    }, 5);
+});
+
 test("a shard of the store that is older than the known one is reported and not accepted (guards against a restore that operators do not notice)", () => {
     const replica = ConfigurationReplica.create();
     const outdated: (readonly number[])[] = [];
--- a/packages/vm/src/storeWatcher.ts
+++ b/packages/vm/src/storeWatcher.ts
@@ -8,10 +8,8 @@
 import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
 import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
-import { parseShard } from "@vanillarouter/platform/parseShard";
+import { parseStoreEntry } from "@vanillarouter/platform/parseStoreEntry";
 import { shardNames } from "@vanillarouter/platform/shardNames";
-import { WatchResponse } from "@vanillarouter/platform/watchResponse";
-import { Ok, Result } from "ts-results";
 
 interface StoreWatcherOptions {
     readonly store: KeyValueStore;
@@ -64,7 +62,7 @@
         for (;;) {
             const startedAt = clock.now();
             const response = yield* store.watch(configurationKeys.formatShardKey(name), index, maxWatchMs * (0.75 + 0.25 * random.next()));
-            const shard = response.err ? response : parseWatchResponse(name, response.val);
+            const shard = response.err ? response : parseStoreEntry(name, response.val.entry);
             if (shard.err) {
                 this.options.onFailure(name, shard.val);
                 yield* sleep(clock, retryMs * (0.5 + 0.5 * random.next()));
@@ -82,8 +80,3 @@
         }
     }
 }
-
-function parseWatchResponse(name: string, response: WatchResponse): Result<ConfigurationShard, Failure> {
-    if (response.entry === undefined) return Ok({ name, version: 0, changeId: "", items: new Map() });
-    return parseShard(name, response.entry.value, response.entry.version);
-}
