Write confirmed changes back to a store that has lost them

What operators saw, by a test: after the store came back from a backup, a VM that started when the others were gone had the configuration of the backup, although later changes had been confirmed. The store stayed outdated until somebody made the changes again.

Cause: the relays noticed and logged that the store holds an earlier state than they have in force, and left it at that.

It writes nothing over a change whose id is later than the one in force, which a VM that was cut off before the restore has made; operators find that in node.storeConflict.

The test of the conflict guards the new code. The program of platform/ does not contain this code.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -120,6 +120,7 @@
             list: this.platform,
             clock,
             random,
+            readWallTime: () => Date.now(),
             createRoles: node => this.createRoles(node),
             onEvent: (event, fields) => logger.info({ ...fields, cause: formatCause(fields["cause"]) }, `node.${event}`),
         });
--- a/packages/vm/src/configurationSync.test.ts
+++ b/packages/vm/src/configurationSync.test.ts
@@ -5,6 +5,8 @@
 import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
 import { ConfigurationSection } from "@vanillarouter/platform/configurationSection";
 import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
+import { createChangeId } from "@vanillarouter/platform/createChangeId";
+import { parseAuditRecord } from "@vanillarouter/platform/parseAuditRecord";
 import * as fc from "fast-check";
 import * as assert from "node:assert/strict";
 import { test } from "node:test";
@@ -119,6 +121,15 @@
     }, 15);
 });
 
+/** Returns the edits in the store's audit trail, each as the target before and after it. */
+function readAuditTrail(cluster: MemoryCluster): readonly string[] {
+    return cluster.platform.store.list(configurationKeys.auditPrefix).flatMap(stored => {
+        const { author, edits } = parseAuditRecord(stored.value.toString("utf8"))!;
+        const readTarget = (value: unknown): unknown => (value as { readonly targetMs: number; } | undefined)?.targetMs;
+        return edits.map(edit => `${author}: ${edit.name} ${String(readTarget(edit.before))} to ${String(readTarget(edit.after))}`);
+    });
+}
+
 /** Changes the target of a class through the administration API of a VM, as an operator would, and checks that the change was confirmed. */
 function changeTarget(cluster: MemoryCluster, vmId: string, targetMs: number, name = "orders"): void {
     const { replica } = cluster.nodes.get(vmId)!.node;
@@ -185,6 +196,30 @@
     }, 5);
 });
 
+test("P9: a VM that starts alone after a restore has the confirmed changes that the store had lost (guards against a store that stays outdated)", () => {
+    checkSeeds(seed => {
+        const cluster = startRestoredCluster(seed);
+        cluster.clock.advance(maxPropagationMs);
+        assert.match(readAuditTrail(cluster).at(-1)!, /^z\d-\d: orders 110 to 130$/);
+        for (const id of [...cluster.nodes.keys()]) cluster.kill(id);
+        const started = cluster.start("z0-9");
+        cluster.clock.advance(maxPropagationMs);
+        assert.equal(started.node.configuration.current?.classes.get("orders")?.targetMs, 130);
+        cluster.close();
+    }, 5);
+});
+
+test("a change that a VM without the latest ones made after a restore stays in the store (guards against a repair that drops a confirmed change)", () => {
+    const cluster = startRestoredCluster(6);
+    const laterChange = createChangeId(Date.UTC(2026, 11, 5), SeededRandom.create(1));
+    const value = { name: "orders", rank: "urgent", targetMs: 140, readOnly: false };
+    const document = JSON.stringify({ changeId: laterChange, version: 1, items: { orders: { changeId: laterChange, value } } });
+    cluster.platform.write(configurationKeys.formatShardKey("classes"), document);
+    cluster.clock.advance(maxPropagationMs);
+    assert.equal(cluster.platform.store.find(configurationKeys.formatShardKey("classes"))?.value.toString("utf8"), document);
+    cluster.close();
+});
+
 test("a shard of the store that is older than the known one is reported and not accepted (guards against a restore that operators do not notice)", () => {
     const replica = ConfigurationReplica.create();
     const outdated: (readonly number[])[] = [];
--- a/packages/vm/src/startVmNode.test.ts
+++ b/packages/vm/src/startVmNode.test.ts
@@ -65,6 +65,7 @@
         list: platform,
         clock,
         random: SystemRandom.create(),
+        readWallTime: Date.now,
         createRoles: () => ({ owner: createOwner(id), groups: KnownGroupViews.create(), shares: { collect: () => [], learn: () => {} } }),
     }));
     const node = started.unwrap();
@@ -86,7 +87,13 @@
     const server = PlatformServer.create({ clock, port: 0 });
     const port = await server.listen();
     const editorClient = PlatformClient.create({ host: "127.0.0.1", port });
-    const editor = ConfigurationEditor.create({ store: editorClient, clock, random: SystemRandom.create(), readWallTime: Date.now, findKnownShard: () => undefined });
+    const editor = ConfigurationEditor.create({
+        store: editorClient,
+        clock,
+        random: SystemRandom.create(),
+        readWallTime: Date.now,
+        findKnownShard: () => undefined,
+    });
     const nodes: StartedNode[] = [];
     try {
         (await run(editor.apply({
--- a/packages/vm/src/startVmNode.ts
+++ b/packages/vm/src/startVmNode.ts
@@ -22,6 +22,8 @@
     readonly list: VmList;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Milliseconds since the Unix epoch, for audit records. */
+    readonly readWallTime: () => number;
     /** Creates the roles of this VM; called once, before any message is sent or received. */
     readonly createRoles: (node: VmNode) => NodeRoles;
     readonly onEvent?: (event: string, fields: Readonly<Record<string, unknown>>) => void;
--- a/packages/vm/src/testing/memoryCluster.ts
+++ b/packages/vm/src/testing/memoryCluster.ts
@@ -11,6 +11,9 @@
 import { MemoryPlatformClient } from "./memoryPlatformClient";
 import { PausableClock } from "./pausableClock";
 
+/** Unix time in milliseconds at the start of the manual clock. */
+const startTimeMs = Date.UTC(2026, 11, 4);
+
 interface ClusterNode {
     readonly node: VmNode;
     readonly clock: PausableClock;
@@ -73,6 +76,7 @@
             list: platform,
             clock,
             random: SeededRandom.create(this.seed * 1_000 + this.startCount),
+            readWallTime: () => startTimeMs + clock.now(),
             createRoles: () => ({
                 owner: {} as OwnerLink,
                 groups: views,
--- a/packages/vm/src/vmNode.ts
+++ b/packages/vm/src/vmNode.ts
@@ -9,6 +9,7 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
+import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
 import { VmList } from "@vanillarouter/platform/vmList";
 import { Err, Ok, Result } from "ts-results";
@@ -29,6 +30,7 @@
 import { PeerCalls } from "./peerCalls";
 import { PeerServices } from "./peerServices";
 import { RoleAssignment } from "./roleAssignment";
+import { StoreRepair } from "./storeRepair";
 import { StoreWatcher } from "./storeWatcher";
 import { VmListWatcher } from "./vmListWatcher";
 import { ZoneNotice } from "./zoneNotice";
@@ -43,6 +45,8 @@
     readonly list: VmList;
     readonly clock: Clock;
     readonly random: RandomSource;
+    /** Milliseconds since the Unix epoch, for audit records. */
+    readonly readWallTime: () => number;
     /** Creates the roles of this VM. Receives the node so that the roles can use its directories. */
     readonly createRoles: (node: VmNode) => NodeRoles;
     /** Called with events that should be logged. */
@@ -66,6 +70,7 @@
     private readonly groupStateSync: GroupStateSync;
     private readonly vmListWatcher: VmListWatcher;
     private readonly storeWatcher: StoreWatcher;
+    private readonly storeRepair: StoreRepair;
     private readonly localOwner: GuardedOwnerLink;
 
     private constructor(private readonly options: VmNodeOptions) {
@@ -83,8 +88,19 @@
             listNeighbours: () => this.listNeighbours(),
             findVm: id => table.find(id)?.vm,
             onRejected: (shard, version, source, cause) => this.report("shardRejected", { shard, version, source, cause }),
-            onStoreOutdated: ({ name, version, changeId }, known) =>
-                this.report("storeOutdated", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId }),
+            onStoreOutdated: (stored, known) => this.handleOutdatedStore(stored, known),
+        });
+        this.storeRepair = StoreRepair.create({
+            vmId: settings.id,
+            store: options.store,
+            clock,
+            random,
+            readWallTime: options.readWallTime,
+            findKnownShard: name => replica.find(name),
+            onRepaired: ({ name, version }, change) => this.report("storeRepaired", { shard: name, version, change }),
+            onConflict: ({ name, version, changeId }, known) =>
+                this.report("storeConflict", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId }),
+            onFailure: (shard, cause) => this.report("storeRepairFailed", { shard, cause: typeof cause === "string" ? cause : cause.message }),
         });
         this.zoneRelay = this.createZoneRelay();
         this.vmListWatcher = VmListWatcher.create({ list: options.list, clock, random, membership: this.membership, isRelay });
@@ -156,6 +172,7 @@
         }
         finally {
             yield* this.configurationSync.close();
+            yield* this.storeRepair.close();
             yield* this.zoneRelay.close();
             yield* this.groupStateSync.close();
         }
@@ -219,6 +236,12 @@
         this.report("zoneNotice", { relay: notice.relay, unreachable: notice.unreachable.join() });
     }
 
+    private handleOutdatedStore(stored: ConfigurationShard, known: ConfigurationShard): void {
+        const { name, version, changeId } = stored;
+        this.report("storeOutdated", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId });
+        this.storeRepair.schedule(name);
+    }
+
     private createZoneRelay(): ZoneRelay {
         const { settings, clock, random, peers } = this.options;
         return ZoneRelay.create({
