Move the parts that keep a VM's configuration up to date out of VmNode

Its copy of the configuration, the synchronization with other VMs, the watches and the repair of the store are NodeConfiguration now.

--- a/packages/vm/src/vmNode.ts
+++ b/packages/vm/src/vmNode.ts
@@ -9,12 +9,10 @@
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Signal } from "@vanillarouter/base/signal";
 import { sleep } from "@vanillarouter/base/sleep";
-import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
 import { VmList } from "@vanillarouter/platform/vmList";
 import { Err, Ok, Result } from "ts-results";
 import { ConfigurationReplica } from "./configurationReplica";
-import { ConfigurationSync } from "./configurationSync";
 import { DatagramTransport } from "./datagramTransport";
 import { Diagnostics } from "./diagnostics";
 import { findNeighbours } from "./findNeighbours";
@@ -24,14 +22,13 @@
 import { Member } from "./member";
 import { Membership } from "./membership";
 import { MemberState } from "./memberState";
+import { NodeConfiguration } from "./nodeConfiguration";
 import { NodeRoles } from "./nodeRoles";
 import { NodeSettings } from "./nodeSettings";
 import { OwnerRouter } from "./ownerRouter";
 import { PeerCalls } from "./peerCalls";
 import { PeerServices } from "./peerServices";
 import { RoleAssignment } from "./roleAssignment";
-import { StoreRepair } from "./storeRepair";
-import { StoreWatcher } from "./storeWatcher";
 import { VmListWatcher } from "./vmListWatcher";
 import { ZoneNotice } from "./zoneNotice";
 import { ZoneRelay } from "./zoneRelay";
@@ -64,54 +61,34 @@
     public readonly membership: Membership;
     public readonly owners: OwnerRouter;
     public readonly roles: RoleAssignment;
-    public readonly replica = ConfigurationReplica.create();
-    private readonly configurationSync: ConfigurationSync;
+    private readonly nodeConfiguration: NodeConfiguration;
     private readonly zoneRelay: ZoneRelay;
     private readonly groupStateSync: GroupStateSync;
     private readonly vmListWatcher: VmListWatcher;
-    private readonly storeWatcher: StoreWatcher;
-    private readonly storeRepair: StoreRepair;
     private readonly localOwner: GuardedOwnerLink;
 
     private constructor(private readonly options: VmNodeOptions) {
         const { settings, clock, random, peers } = options;
         this.membership = this.createMembership();
         const { table } = this.membership;
-        const { replica } = this;
         const isRelay = (): boolean => this.roles.isRelay();
         this.roles = RoleAssignment.create(table, settings.id, zone => this.isReachable(zone));
-        this.owners = OwnerRouter.create({ selfId: settings.id, replica, roles: this.roles, table, peers, readLocalOwner: () => this.localOwner });
-        this.configurationSync = ConfigurationSync.create({
-            replica,
-            peers,
-            clock,
-            listNeighbours: () => this.listNeighbours(),
-            findVm: id => table.find(id)?.vm,
-            onRejected: (shard, version, source, cause) => this.report("shardRejected", { shard, version, source, cause }),
-            onStoreOutdated: (stored, known) => this.handleOutdatedStore(stored, known),
-        });
-        this.storeRepair = StoreRepair.create({
+        this.nodeConfiguration = NodeConfiguration.create({
             vmId: settings.id,
             store: options.store,
+            peers,
             clock,
             random,
             readWallTime: options.readWallTime,
-            findKnownShard: name => replica.find(name),
-            onRepaired: ({ name, version }, change) => this.report("storeRepaired", { shard: name, version, change }),
-            onConflict: ({ name, version, changeId }, known) =>
-                this.report("storeConflict", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId }),
-            onFailure: (shard, cause) => this.report("storeRepairFailed", { shard, cause: typeof cause === "string" ? cause : cause.message }),
+            isRelay,
+            listNeighbours: () => this.listNeighbours(),
+            findVm: id => table.find(id)?.vm,
+            report: (event, fields) => this.report(event, fields),
         });
+        const { replica } = this;
+        this.owners = OwnerRouter.create({ selfId: settings.id, replica, roles: this.roles, table, peers, readLocalOwner: () => this.localOwner });
         this.zoneRelay = this.createZoneRelay();
         this.vmListWatcher = VmListWatcher.create({ list: options.list, clock, random, membership: this.membership, isRelay });
-        this.storeWatcher = StoreWatcher.create({
-            store: options.store,
-            clock,
-            random,
-            isRelay,
-            accept: shard => this.configurationSync.acceptStored(shard),
-            onFailure: (shard, failure) => this.report("storeWatchFailed", { shard, code: failure.code, cause: failure.message }),
-        });
         table.onChange((member, before) => this.reportMemberChange(member, before));
         const nodeRoles = options.createRoles(this);
         this.localOwner = GuardedOwnerLink.create(nodeRoles.owner, () => this.checkRoles());
@@ -131,6 +108,11 @@
         return new VmNode(options);
     }
 
+    /** This VM's copy of the configuration. */
+    public get replica(): ConfigurationReplica {
+        return this.nodeConfiguration.replica;
+    }
+
     /** The configuration currently in effect on this VM. */
     public get configuration(): ConfigurationSource {
         return this.replica;
@@ -147,7 +129,7 @@
             owner: this.localOwner,
             readDigest: () => this.replica.readDigest(),
             pullShards: names => this.replica.readDocuments(names),
-            pushShards: (deltas, senderId) => this.configurationSync.handlePush(deltas, senderId),
+            pushShards: (deltas, senderId) => this.nodeConfiguration.sync.handlePush(deltas, senderId),
             exchangeMembers: exchange => this.zoneRelay.handleExchange(exchange),
             exchangeGroups: exchange => this.groupStateSync.handleExchange(exchange),
         };
@@ -168,11 +150,15 @@
     /** Runs all background tasks of the node until cancelled. */
     public *run(): Operation<never> {
         try {
-            return yield* race([this.membership.run(), this.zoneRelay.run(), this.storeWatcher.run(), this.vmListWatcher.run(), this.groupStateSync.run()]);
+            return yield* race([
+                this.membership.run(),
+                this.zoneRelay.run(),
+                this.nodeConfiguration.run(),
+                this.vmListWatcher.run(),
+                this.groupStateSync.run(),
+            ]);
         }
         finally {
-            yield* this.configurationSync.close();
-            yield* this.storeRepair.close();
             yield* this.zoneRelay.close();
             yield* this.groupStateSync.close();
         }
@@ -218,7 +204,7 @@
             random,
             readSeeds: () => [...settings.seeds, ...this.vmListWatcher.readSeeds()],
             readConfigurationMark: () => this.replica.mark,
-            onConfigurationMark: (sender, mark) => this.configurationSync.handleMark(sender, mark),
+            onConfigurationMark: (sender, mark) => this.nodeConfiguration.sync.handleMark(sender, mark),
             onNotice: notice => this.handleNotice(notice),
         });
     }
@@ -236,12 +222,6 @@
         this.report("zoneNotice", { relay: notice.relay, unreachable: notice.unreachable.join() });
     }
 
-    private handleOutdatedStore(stored: ConfigurationShard, known: ConfigurationShard): void {
-        const { name, version, changeId } = stored;
-        this.report("storeOutdated", { shard: name, version, change: changeId, knownVersion: known.version, knownChange: known.changeId });
-        this.storeRepair.schedule(name);
-    }
-
     private createZoneRelay(): ZoneRelay {
         const { settings, clock, random, peers } = this.options;
         return ZoneRelay.create({
@@ -252,7 +232,7 @@
             clock,
             random,
             readConfigurationMark: () => this.replica.mark,
-            onConfigurationMark: (sender, mark) => this.configurationSync.handleMark(sender, mark),
+            onConfigurationMark: (sender, mark) => this.nodeConfiguration.sync.handleMark(sender, mark),
         });
     }
 
