Retry a failed repair of the store at growing intervals, and name the parser of a shard after what it parses

A store that is away again after a restore had got an attempt and a log line a shard at most every two seconds from each relay. parseStoreEntry was also the name of a function of the platform client.

--- a/packages/platform/src/configurationEditor.ts
+++ b/packages/platform/src/configurationEditor.ts
@@ -24,7 +24,7 @@
 import { getShardName } from "./getShardName";
 import { KeyValueStore } from "./keyValueStore";
 import { parseAuditRecord } from "./parseAuditRecord";
-import { parseStoreEntry } from "./parseStoreEntry";
+import { parseShardEntry } from "./parseShardEntry";
 import { shardNames } from "./shardNames";
 import { StoredShard } from "./storedShard";
 import { StoreEntry } from "./storeEntry";
@@ -134,7 +134,7 @@
     /** Returns the state of a shard that a change starts from: the store's, unless the store has lost a later one that is in force on this VM. */
     private parseStoredShard(name: string, entry: StoreEntry | undefined): Result<StoredShard, Failure> {
         const known = this.options.findKnownShard(name);
-        return parseStoreEntry(name, entry).map(stored => {
+        return parseShardEntry(name, entry).map(stored => {
             const latest = known !== undefined && known.version > stored.version ? known : stored;
             return { ...latest, modifyIndex: entry?.version ?? 0 };
         });
--- a/packages/vm/src/storeRepair.ts
+++ b/packages/vm/src/storeRepair.ts
@@ -12,7 +12,7 @@
 import { formatShard } from "@vanillarouter/platform/formatShard";
 import { getShardSection } from "@vanillarouter/platform/getShardSection";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
-import { parseStoreEntry } from "@vanillarouter/platform/parseStoreEntry";
+import { parseShardEntry } from "@vanillarouter/platform/parseShardEntry";
 import { Err, Ok, Result } from "ts-results";
 
 interface StoreRepairOptions {
@@ -34,6 +34,8 @@
 const callTimeoutMs = 1_500;
 /** The VMs that notice an outdated shard write at random moments within this time, so that one of them usually spares the others the write. */
 const maxDelayMs = 2_000;
+/** After a failed attempt the time is doubled, up to this one. */
+const maxRetryDelayMs = 60_000;
 
 /**
  * Writes shards back to a store that has come back from a backup without their latest states, so that the confirmed changes in them last.
@@ -65,13 +67,14 @@
 
     private *repairUntilCurrent(name: string): Operation<void> {
         const { clock, random } = this.options;
+        let delayMs = maxDelayMs;
         try {
-            let isCurrent = false;
-            while (!isCurrent) {
-                yield* sleep(clock, maxDelayMs * random.next());
+            for (;;) {
+                yield* sleep(clock, delayMs * random.next());
                 const repaired = yield* this.repair(name);
+                if (repaired.ok && repaired.val) return;
                 if (repaired.err) this.options.onFailure(name, repaired.val);
-                isCurrent = repaired.ok && repaired.val;
+                delayMs = Math.min(maxRetryDelayMs, delayMs * 2);
             }
         }
         finally {
@@ -85,7 +88,7 @@
         const key = configurationKeys.formatShardKey(name);
         const entry = yield* store.read(key, callTimeoutMs);
         if (entry.err) return entry;
-        const stored = parseStoreEntry(name, entry.val);
+        const stored = parseShardEntry(name, entry.val);
         if (stored.err) return stored;
         const known = this.options.findKnownShard(name);
         if (known === undefined || stored.val.version >= known.version) return Ok(true);
--- a/packages/vm/src/storeWatcher.ts
+++ b/packages/vm/src/storeWatcher.ts
@@ -8,7 +8,7 @@
 import { configurationKeys } from "@vanillarouter/platform/configurationKeys";
 import { ConfigurationShard } from "@vanillarouter/platform/configurationShard";
 import { KeyValueStore } from "@vanillarouter/platform/keyValueStore";
-import { parseStoreEntry } from "@vanillarouter/platform/parseStoreEntry";
+import { parseShardEntry } from "@vanillarouter/platform/parseShardEntry";
 import { shardNames } from "@vanillarouter/platform/shardNames";
 
 interface StoreWatcherOptions {
@@ -62,7 +62,7 @@
         for (;;) {
             const startedAt = clock.now();
             const response = yield* store.watch(configurationKeys.formatShardKey(name), index, maxWatchMs * (0.75 + 0.25 * random.next()));
-            const shard = response.err ? response : parseStoreEntry(name, response.val.entry);
+            const shard = response.err ? response : parseShardEntry(name, response.val.entry);
             if (shard.err) {
                 this.options.onFailure(name, shard.val);
                 yield* sleep(clock, retryMs * (0.5 + 0.5 * random.next()));
