--- a/packages/session/src/cluster/appliedRevisions.ts
+++ b/packages/session/src/cluster/appliedRevisions.ts
@@ -5,7 +5,7 @@
  * A removed key keeps its revision until the store has been read without it.
  */
 export class AppliedRevisions {
-    private era = 0;
+    private currentEra = 0;
     private readonly revisions = new Map<string, number>();
 
     private constructor() {}
@@ -14,10 +14,15 @@
         return new AppliedRevisions();
     }
 
+    /** Era of the revisions. */
+    public get era(): number {
+        return this.currentEra;
+    }
+
     /** Forgets all revisions if `era` is not the era that they belong to. Returns whether it was not. */
     public enterEra(era: number): boolean {
-        if (era === this.era) return false;
-        this.era = era;
+        if (era === this.currentEra) return false;
+        this.currentEra = era;
         this.revisions.clear();
         return true;
     }
--- a/packages/standins/src/line/lineStore.ts
+++ b/packages/standins/src/line/lineStore.ts
@@ -118,8 +118,8 @@
         return item === undefined ? undefined : Buffer.from(item.value, "base64").toString("utf8");
     }
 
-    public get keys(): readonly string[] {
-        return [...this.items.keys()];
+    public list(): readonly StoredItem[] {
+        return [...this.items.values()];
     }
 
     public close(): void {
