--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,66 +1,55 @@
 import { Deployment, sleep } from "../standins/deployment.mjs";
 import { LineClient } from "../standins/lineClient.mjs";
 
-/** LOST: a machine that is asked to stop a second time while it stops cuts off the requests that it has passed on to backends. */
+/** PINNED: a statement that a client has prepared for reading runs as a write of the shape that another client has prepared. */
 
-const graceS = 6;
-const secondSignalAfterMs = 1_000;
-const sendsSecondSignal = (process.env.TROUBLE ?? "1") !== "0";
+const readerCount = 4;
+const readerShape = "q";
+/** The last field of a line extends to its end, so a shape may contain blanks. */
+const otherShape = (process.env.TROUBLE ?? "1") === "0" ? "z" : "q WRITE z";
 
-const deployment = await Deployment.create(import.meta.url, { graceS, group: { getWorkMs: keyword => keyword === "READ" ? 55 : 30 } });
+const deployment = await Deployment.create(import.meta.url, {});
 const { group, now } = deployment;
-/** When a backend got a statement, by its id. */
-const arrivals = new Map();
+const [machine] = deployment.machines;
+/** What the client of a statement has prepared under the name that it executes, by the id of the statement. */
+const prepared = new Map();
 const violations = [];
-let nextId = 1;
+let isOver = false;
 let served = 0;
 
-group.onArrival = note => arrivals.set(note.id, note);
+group.onRun = note => {
+    const wanted = prepared.get(note.id);
+    if (wanted === undefined || note.prepared === undefined) return;
+    const { mode, shape } = note.prepared;
+    const committed = note.entry === undefined ? "" : ` and committed as ${note.entry.term}.${note.entry.number}`;
+    deployment.record(`${note.id} ran at ${note.backend} as ${mode} ${shape}${committed}`);
+    if (mode === wanted.mode && shape === wanted.shape) return;
+    violations.push(`PINNED: ${note.id} ran at ${note.backend} as ${mode} ${shape}${committed}; its client prepared ${wanted.mode} ${wanted.shape}`);
+};
 
-/** Records a request that ended without a complete answer, and whether the rule allows it. `stoppedAt` is the time of the first SIGTERM. */
-function judge(machine, id, answer) {
-    const arrival = arrivals.get(id);
-    const isPassedOn = arrival !== undefined;
-    deployment.record(`${id} at ${machine.id}: sent at ${answer.sentAt.toFixed(1)}, cut at ${answer.endedAt.toFixed(1)}, at a backend: ${isPassedOn}`);
-    const { stoppedAt } = machine;
-    const isPlanned = stoppedAt !== undefined && answer.endedAt <= stoppedAt + graceS * 1_000 + 1_000;
-    const isExcused = answer.endedAt >= stoppedAt + graceS * 1_000 * 5 / 6 && answer.sentAt <= stoppedAt + 3_000;
-    if (!isPassedOn || !isPlanned || isExcused) return;
-    const afterStop = (answer.endedAt - stoppedAt).toFixed(0);
-    violations.push(
-        `LOST: ${id} was sent to ${machine.id} at ${answer.sentAt.toFixed(1)} ms and reached ${arrival.backend}, but its connection ended without an answer `
-            + `${(answer.endedAt - answer.sentAt).toFixed(0)} ms later, ${afterStop} ms after the first SIGTERM`,
-    );
-}
-
-/** Sends requests over one connection until the machine closes it. */
-async function runSession(machine, database, text) {
-    const client = new LineClient(machine.address, now);
-    if (!(await client.logIn(database))) return;
-    while (!client.isClosed) {
-        const id = `q${nextId++}`;
-        const answer = await client.query(id, text);
-        if (answer.isComplete) served++;
-        else judge(machine, id, answer);
-        await sleep(10);
+/** Prepares a statement for reading under the name s1 and executes it often. */
+async function execute(client, shape, pauseMs) {
+    const session = new LineClient(machine.address, now);
+    await session.logIn("orders");
+    const answer = await session.query(`${client}p`, `PREPARE s1 READ ${shape}`);
+    deployment.record(`${client} prepares s1 as READ ${shape}: ${answer.error ?? `DONE ${answer.receipt}`}`);
+    for (let number = 1; !isOver && !session.isClosed; number++) {
+        const id = `${client}e${number}`;
+        prepared.set(id, { mode: "READ", shape });
+        const executed = await session.query(id, "EXEC s1 1a4");
+        if (executed.error === undefined) served++;
+        else deployment.record(`${id} gets ${executed.error}`);
+        await sleep(pauseMs);
     }
+    session.close();
 }
 
-for (const machine of deployment.machines.slice(0, 2)) {
-    const sessions = [
-        ...Array.from({ length: 3 }, () => runSession(machine, "views", "READ 1a4")),
-        ...Array.from({ length: 2 }, () => runSession(machine, "orders", "WRITE 1a4 x")),
-    ];
-    await sleep(3_000);
-    machine.stoppedAt = now();
-    machine.signal("SIGTERM");
-    deployment.record(`${machine.id} gets SIGTERM`);
-    if (sendsSecondSignal) {
-        await sleep(secondSignalAfterMs);
-        machine.signal("SIGTERM");
-        deployment.record(`${machine.id} gets SIGTERM again`);
-    }
-    await Promise.all([...sessions, machine.exited]);
-    deployment.record(`${machine.id} has ended ${(machine.exit.at - deployment.startedAt - machine.stoppedAt).toFixed(0)} ms after the first SIGTERM`);
-}
-await deployment.finish(violations, served > 50 ? undefined : "too few requests were served");
+const readers = Array.from({ length: readerCount }, (_, index) => execute(`reader${index + 1}`, readerShape, 30));
+await sleep(2_000);
+const other = execute("other", otherShape, 300);
+await sleep(4_000);
+isOver = true;
+await Promise.all([...readers, other]);
+const commits = group.primary.entries.length - 1;
+deployment.record(`${served} statements served, ${commits} commits in the log although no client has sent or prepared a write`);
+await deployment.finish(violations, served > 100 ? undefined : "too few statements were served");
--- a/review/standins/backendGroup.mjs
+++ b/review/standins/backendGroup.mjs
@@ -177,7 +177,8 @@
             case "DEALLOC":
                 return {};
             case "PREPARE":
-                session.prepared.set(rest[0], rest[1]);
+                if (rest[1] !== "READ" && rest[1] !== "WRITE") return { error: "BADMSG" };
+                session.prepared.set(rest[0], { mode: rest[1], shape: rest.slice(2).join(" ") });
                 return {};
             case "RESET":
                 session.prepared.clear();
@@ -203,10 +204,11 @@
     async runInSlot(session, id, floor, keyword, rest) {
         if (floor !== undefined && !this.hasApplied(floor)) return { error: "LAGGING" };
         if (!(await this.slots.take())) return { error: "BUSY" };
-        const note = { id, backend: this.id, keyword, startedAt: this.group.now() };
+        const prepared = keyword === "EXEC" ? session.prepared.get(rest[0]) : undefined;
+        const note = { id, backend: this.id, keyword, prepared, startedAt: this.group.now() };
         this.group.onArrival(note);
         try {
-            const isWrite = keyword === "WRITE" || (keyword === "EXEC" && session.prepared.get(rest[0]) === "WRITE");
+            const isWrite = keyword === "WRITE" || prepared?.mode === "WRITE";
             await new Promise(resolve => setTimeout(resolve, this.group.getWorkMs(keyword, rest)));
             if (keyword !== "COMMIT" && keyword !== "READ" && keyword !== "EXEC" && !isWrite) return { error: "BADMSG" };
             if (!session.isOpen && session.state === "T") return { error: "ABORTED" };
