--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -61,12 +61,13 @@
     throw new Error("no free loopback network");
 }
 
-async function findFreePort(ip) {
-    const server = createServer();
-    await new Promise(resolve => server.listen(0, ip, resolve));
-    const { port } = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return port;
+async function findFreePorts(ip, count) {
+    // All are open at once, so that no port is found twice.
+    const servers = Array.from({ length: count }, () => createServer());
+    for (const server of servers) await new Promise(resolve => server.listen(0, ip, resolve));
+    const ports = servers.map(server => server.address().port);
+    for (const server of servers) await new Promise(resolve => server.close(resolve));
+    return ports;
 }
 
 /** One machine of the system. */
@@ -117,12 +118,15 @@
         const deployment = new Deployment(fileURLToPath(new URL("record.txt", caseUrl)));
         deployment.backendZones = backendZones;
         deployment.hasPaths = hasPaths;
+        process.once("exit", () => deployment.machines.forEach(machine => machine.signal("SIGKILL")));
+        for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(2));
         process.once("uncaughtException", err => void deployment.finish([], `a stand-in failed: ${err.stack}`));
         try {
             await deployment.build(machines, graceS, group, findDutyAddress);
         }
         catch (err) {
             deployment.record(`the deployment did not start: ${err.stack}`);
+            process.stdout.write(`the deployment did not start: ${err.message}\n`);
             await deployment.close();
             process.exit(2);
         }
@@ -158,7 +162,7 @@
             const machine = new Machine(`edge-${index}`, `${network}.${index}`, this.folder);
             this.machines.push(machine);
             const { ip, id } = machine;
-            const [front, ready, internal] = [await findFreePort(ip), await findFreePort(ip), await findFreePort(ip)];
+            const [front, ready, internal] = await findFreePorts(ip, 3);
             machine.address = `${ip}:${front}`;
             machine.readyAddress = `${ip}:${ready}`;
             machine.zone = zones[(index - 1) % zones.length];
@@ -217,7 +221,10 @@
         const deadline = this.now() + startTimeoutMs;
         for (const machine of this.machines) {
             while (!(await machine.isReady())) {
-                if (this.now() > deadline || machine.exit !== undefined) throw new Error(`${machine.id} does not become ready`);
+                if (this.now() > deadline || machine.exit !== undefined) {
+                    const log = readFileSync(machine.logFile, "utf8").split("\n").slice(-5).join("\n");
+                    throw new Error(`${machine.id} does not become ready (exit ${machine.exit?.code}): ${log}`);
+                }
                 await sleep(50);
             }
             this.record(`${machine.id} is ready at ${machine.address}`);
