--- a/packages/relay/src/describeOperation.ts
+++ b/packages/relay/src/describeOperation.ts
@@ -1,6 +1,5 @@
 import { CallerRequest } from "@vanillarouter/session/entry/callerRequest";
 import { CallerStatement } from "@vanillarouter/session/model/callerStatement";
-import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import { RelayRequest } from "./relayRequest";
 
 type RunRequest = Extract<RelayRequest, { readonly kind: "run"; }>;
@@ -19,7 +18,7 @@
         statement,
         session: {
             values: [...req.session.values],
-            prepared: statement.kind === StatementKind.Execute ? req.session.prepared.get(statement.name) : undefined,
+            prepared: req.session.findPrepared(statement),
         },
     };
 }
--- a/packages/relay/src/relayedTransaction.ts
+++ b/packages/relay/src/relayedTransaction.ts
@@ -36,7 +36,7 @@
     }
 
     public runStatement(statement: CallerStatement): Operation<StatementOutcome> {
-        if (this.isWrite(statement)) this.hasWritten = true;
+        if (!this.req.session.isReadOnly(statement)) this.hasWritten = true;
         return this.run(statement);
     }
 
@@ -55,11 +55,6 @@
         this.remote = undefined;
     }
 
-    private isWrite(statement: CallerStatement): boolean {
-        if (statement.kind === StatementKind.Write) return true;
-        return statement.kind === StatementKind.Execute && this.req.session.prepared.get(statement.name)?.readOnly === false;
-    }
-
     private *run(statement: CallerStatement): Operation<StatementOutcome> {
         if (this.remote !== undefined) return yield* this.runAtGateway(this.remote, statement);
         const service = this.req.workClass.service;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -154,8 +154,7 @@
     }
 
     private *runDataStatement(statement: CallerStatement, receivedAt: number): Operation<void> {
-        const prepared = this.sessionValues.prepared.get(statement.name);
-        if (statement.kind === StatementKind.Execute && prepared === undefined) {
+        if (statement.kind === StatementKind.Execute && this.sessionValues.findPrepared(statement) === undefined) {
             return this.sendOutcome(createFailedOutcome(ErrorKind.NoStatement, Diagnostics.noSuchStatement));
         }
         if (this.transaction !== undefined) {
@@ -165,7 +164,7 @@
         const workClass = this.findClass();
         if (workClass === undefined) return this.sendOutcome(createFailedOutcome(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
         if (statement.kind === StatementKind.Commit) return this.sendOutcome(createFailedOutcome(ErrorKind.Malformed, Diagnostics.malformedStatement));
-        const readOnly = statement.kind === StatementKind.Read || prepared?.readOnly === true;
+        const readOnly = this.sessionValues.isReadOnly(statement);
         const req = this.createRequest(statement, workClass, receivedAt, readOnly, readOnly);
         const outcome = yield* this.context.executors.select(workClass.service).runStatement(req, statement);
         this.recordOutcome(statement, workClass.database, receivedAt, outcome);
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -9,7 +9,6 @@
 import { CallerTransaction } from "../model/callerTransaction";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
-import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { UpstreamResponse } from "../model/upstreamResponse";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
@@ -54,8 +53,7 @@
         if (forwarded.err) return this.abortWithoutSlot();
         const response = forwarded.val;
         if (response === undefined || response.error !== undefined) return this.abort(response);
-        if (statement.kind === StatementKind.Write) this.hasWritten = true;
-        if (statement.kind === StatementKind.Execute && this.req.session.prepared.get(statement.name)?.readOnly === false) this.hasWritten = true;
+        if (!this.req.session.isReadOnly(statement)) this.hasWritten = true;
         return { rows: response.rows, receipt: response.receipt, error: undefined, text: "" };
     }
 
@@ -133,12 +131,9 @@
         this.isConnectionBusy = true;
         try {
             if (!(yield* connection.applySession(this.req.session))) return undefined;
-            let preparedName: string | undefined;
-            if (statement.kind === StatementKind.Execute) {
-                const prepared = this.req.session.prepared.get(statement.name)!;
-                preparedName = yield* connection.prepare(prepared.shape, prepared.readOnly);
-                if (preparedName === undefined) return undefined;
-            }
+            const prepared = this.req.session.findPrepared(statement);
+            const preparedName = prepared === undefined ? undefined : yield* connection.prepare(prepared.shape, prepared.readOnly);
+            if (prepared !== undefined && preparedName === undefined) return undefined;
             return yield* connection.run(
                 { kind: CommandKind.Forward, id: statement.id, text: statement.text, name: statement.name, preparedName },
                 Math.max(1, deadline - this.context.clock.now()),
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -195,9 +195,8 @@
     }
 
     private *prepare(req: CallerRequest, statement: CallerStatement, connection: UpstreamConnection): Operation<string | undefined> {
-        if (statement.kind !== StatementKind.Execute) return undefined;
-        const prepared = req.session.prepared.get(statement.name)!;
-        return yield* connection.prepare(prepared.shape, prepared.readOnly);
+        const prepared = req.session.findPrepared(statement);
+        return prepared === undefined ? undefined : yield* connection.prepare(prepared.shape, prepared.readOnly);
     }
 
     /** Starts a timer that suspects the primary if it is slow to respond. Returns a function that cancels the timer. */
--- a/packages/session/src/testing/fakeUpstreamServer.ts
+++ b/packages/session/src/testing/fakeUpstreamServer.ts
@@ -1,11 +1,14 @@
 import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
 import { LogPosition } from "@vanillarouter/base/logPosition";
+import { PreparedStatement } from "../entry/preparedStatement";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
 import { TransactionState } from "../model/transactionState";
 import { UpstreamCommand } from "../model/upstreamCommand";
 import { UpstreamResponse } from "../model/upstreamResponse";
 import { UpstreamStatus } from "../model/upstreamStatus";
+import { FakeExecution } from "./fakeExecution";
+import { FakeStatement } from "./fakeStatement";
 
 interface ItemWrite {
     readonly item: string;
@@ -16,8 +19,11 @@
 interface ServerSession {
     state: TransactionState;
     pendingWrites: ItemWrite[];
+    /** Number of transactions that have begun on the connection. */
+    transactionCount: number;
+    readonly connection: number;
     readonly values: Map<string, string>;
-    readonly prepared: Set<string>;
+    readonly prepared: Map<string, PreparedStatement>;
 }
 
 /** An in-memory upstream of a fake database group. Each log entry has the id of the statement that wrote it. */
@@ -40,6 +46,9 @@
     public refusesDials = false;
     /** Errors that the next statements return, one for each. */
     public nextErrors: ErrorKind[] = [];
+    /** Called after each statement that ran without an error. */
+    public onExecuted: (execution: FakeExecution) => void = () => undefined;
+    private connectionCount = 0;
 
     private constructor(public readonly id: string, private readonly replicate: (from: FakeUpstreamServer) => void) {}
 
@@ -56,7 +65,8 @@
     }
 
     public createSession(): ServerSession {
-        return { state: TransactionState.Idle, pendingWrites: [], values: new Map(), prepared: new Set() };
+        const connection = ++this.connectionCount;
+        return { state: TransactionState.Idle, pendingWrites: [], transactionCount: 0, connection, values: new Map(), prepared: new Map() };
     }
 
     /** Runs one command of a connection. */
@@ -68,23 +78,39 @@
             if (session.state === TransactionState.Open) session.state = TransactionState.Failed;
             return this.createResponse(session, error);
         }
+        if (command.kind === CommandKind.Forward) return this.execute(session, command.id!, this.decode(session, command));
         this.apply(session, command);
-        if (command.kind !== CommandKind.Forward) return this.createResponse(session, undefined, "-");
-        const [verb, item = ""] = command.text?.split(" ") ?? [];
-        return this.createResponse(session, undefined, `${this.id}/${command.id}`, verb === "READ" ? this.findValue(item) : []);
+        return this.createResponse(session, undefined, "-");
+    }
+
+    private decode(session: ServerSession, command: UpstreamCommand): FakeStatement {
+        return FakeStatement.create(command.text!, session.prepared, command.preparedName);
+    }
+
+    private execute(session: ServerSession, id: string, statement: FakeStatement): UpstreamResponse {
+        const { state, connection, transactionCount, values } = session;
+        this.executedIds.push(id);
+        this.runStatement(session, id, statement);
+        const rows = statement.isRead ? this.findValue(statement.item) : [];
+        const transaction = state === TransactionState.Open ? `${this.id}/${connection}/${transactionCount}` : undefined;
+        this.onExecuted({ upstreamId: this.id, id, text: statement.text, prepared: statement.prepared, values: new Map(values), transaction, rows });
+        return this.createResponse(session, undefined, `${this.id}/${id}`, rows);
     }
 
     private findError(session: ServerSession, command: UpstreamCommand): ErrorKind | undefined {
         if (command.floor !== undefined && compareLogPositions(this.position, command.floor) < 0) return ErrorKind.Lagging;
-        const needsPrimary = (command.kind === CommandKind.Begin && command.readOnly !== true) || command.text?.startsWith("WRITE") === true;
-        const isWritingCommit = command.text === "COMMIT" && session.pendingWrites.length > 0;
-        return !this.isPrimary && (needsPrimary || isWritingCommit) ? ErrorKind.ReadOnly : undefined;
+        if (command.kind === CommandKind.Begin) return this.isPrimary || command.readOnly === true ? undefined : ErrorKind.ReadOnly;
+        const statement = this.decode(session, command);
+        if (statement.isUnknown) return ErrorKind.NoStatement;
+        const isWritingCommit = statement.isCommit && session.pendingWrites.length > 0;
+        return !this.isPrimary && (statement.isWrite || isWritingCommit) ? ErrorKind.ReadOnly : undefined;
     }
 
     private apply(session: ServerSession, command: UpstreamCommand): void {
         switch (command.kind) {
             case CommandKind.Begin:
                 session.state = TransactionState.Open;
+                session.transactionCount++;
                 return;
             case CommandKind.Rollback:
                 this.endTransaction(session);
@@ -97,28 +123,23 @@
                 session.values.set(command.name!, command.text!);
                 return;
             case CommandKind.Prepare:
-                session.prepared.add(command.name!);
+                session.prepared.set(command.name!, { shape: command.text!, readOnly: command.readOnly === true });
                 return;
             case CommandKind.Fence:
                 if (command.term! > this.term && !this.isPrimary) this.fenceTerm = command.term!;
                 return;
             case CommandKind.Demote:
                 if (command.term! > this.term) this.isPrimary = false;
-                return;
-            case CommandKind.Forward:
-                this.runStatement(session, command);
         }
     }
 
-    private runStatement(session: ServerSession, command: UpstreamCommand): void {
-        this.executedIds.push(command.id!);
-        const [verb, item = "", value = ""] = command.text?.split(" ") ?? [];
-        if (verb === "WRITE") {
+    private runStatement(session: ServerSession, id: string, { isWrite, isCommit, item, value }: FakeStatement): void {
+        if (isWrite) {
             if (session.state === TransactionState.Open) session.pendingWrites.push({ item, value });
-            else this.append(command.id!, [{ item, value }]);
+            else this.append(id, [{ item, value }]);
         }
-        if (command.text !== "COMMIT") return;
-        if (session.pendingWrites.length > 0) this.append(command.id!, session.pendingWrites);
+        if (!isCommit) return;
+        if (session.pendingWrites.length > 0) this.append(id, session.pendingWrites);
         this.endTransaction(session);
     }
 
--- a/packages/standins/src/line/linePlatform.ts
+++ b/packages/standins/src/line/linePlatform.ts
@@ -17,7 +17,7 @@
 
     private constructor(
         public readonly store: LineStore,
-        private readonly upstreams: LineUpstream[],
+        public readonly upstreams: readonly LineUpstream[],
         private readonly maxConnections: number,
         private readonly findListedAddress: (address: string) => string,
     ) {}
--- a/packages/standins/src/line/lineUpstream.ts
+++ b/packages/standins/src/line/lineUpstream.ts
@@ -1,18 +1,42 @@
+import { LineSocket } from "@vanillarouter/base/lineSocket";
+import { Operation } from "@vanillarouter/base/operation";
+import { Task } from "@vanillarouter/base/task";
 import { CommandKind } from "@vanillarouter/session/model/commandKind";
+import { ErrorKind } from "@vanillarouter/session/model/errorKind";
 import { TransactionState } from "@vanillarouter/session/model/transactionState";
 import { UpstreamCommand } from "@vanillarouter/session/model/upstreamCommand";
 import { FakeUpstreamServer } from "@vanillarouter/session/testing/fakeUpstreamServer";
-import { AddressInfo, createServer, Server, Socket } from "node:net";
-import { createInterface } from "node:readline";
+import { AddressInfo, createServer, Server } from "node:net";
 
 const stateCodes: Readonly<Record<TransactionState, string>> = { [TransactionState.Idle]: "I", [TransactionState.Open]: "T", [TransactionState.Failed]: "E" };
 
+const codesByError: ReadonlyMap<ErrorKind, string> = new Map([
+    [ErrorKind.Busy, "BUSY"],
+    [ErrorKind.NoStatement, "NOSTMT"],
+]);
+
+function formatError(error: ErrorKind): string {
+    return codesByError.get(error) ?? error.replace("-", "").toUpperCase();
+}
+
+/** Splits off the first word. The last field of a line may contain spaces. */
+function splitOnce(text: string): readonly [string, string] {
+    const space = text.indexOf(" ");
+    return space < 0 ? [text, ""] : [text.slice(0, space), text.slice(space + 1)];
+}
+
+function parsePrepare(name: string, definition: string): UpstreamCommand {
+    const [mode, shape] = splitOnce(definition);
+    return { kind: CommandKind.Prepare, name, readOnly: mode === "READ", text: shape };
+}
+
 function parseCommand(id: string, text: string): UpstreamCommand {
-    const [verb = "", first = "", second = "", ...rest] = text.split(" ");
+    const [verb, fields] = splitOnce(text);
+    const [first, rest] = splitOnce(fields);
     switch (verb) {
         case "AFTER": {
             const [term, position] = first.split(".").map(Number) as [number, number];
-            return { ...parseCommand(id, [second, ...rest].join(" ")), floor: { term, position } };
+            return { ...parseCommand(id, rest), floor: { term, position } };
         }
         case "BEGIN":
             return { kind: CommandKind.Begin, readOnly: first === "READ" };
@@ -21,9 +45,9 @@
         case "RESET":
             return { kind: CommandKind.Reset };
         case "SET":
-            return { kind: CommandKind.SetValue, name: first, text: second };
+            return { kind: CommandKind.SetValue, name: first, text: rest };
         case "PREPARE":
-            return { kind: CommandKind.Prepare, name: first, readOnly: second === "READ", text: rest.join(" ") };
+            return parsePrepare(first, rest);
         case "STATUS":
             return { kind: CommandKind.Status };
         case "PAUSE":
@@ -37,13 +61,16 @@
 
 /** Serves a fake upstream over the line protocol. */
 export class LineUpstream {
+    /** Whether the response to a command that has run is lost. */
+    public losesResponse: (command: UpstreamCommand) => boolean = () => false;
+
     private constructor(private readonly server: Server, public readonly upstream: FakeUpstreamServer, private readonly service: string) {}
 
     /** Listens on a free port of the loopback address. */
     public static async create(upstream: FakeUpstreamServer, service: string): Promise<LineUpstream> {
         const server = createServer();
         const created = new LineUpstream(server, upstream, service);
-        server.on("connection", socket => created.serveConnection(socket));
+        server.on("connection", socket => Task.start(created.serveConnection(LineSocket.create(socket))));
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         return created;
     }
@@ -56,31 +83,30 @@
         this.server.close();
     }
 
-    private serveConnection(socket: Socket): void {
+    private *serveConnection(socket: LineSocket): Operation<void> {
         const session = this.upstream.createSession();
-        socket.on("error", () => socket.destroy());
-        const lines = createInterface({ input: socket });
-        // The readline interface re-emits the errors of its socket. Without a listener they would be uncaught exceptions.
-        lines.on("error", () => socket.destroy());
-        lines.on("line", line => {
-            if (this.upstream.isUnresponsive) return;
-            const [verb, first = "", ...rest] = line.split(" ");
-            if (verb === "CONNECT") return this.logIn(socket, first, rest[1]);
-            const command = parseCommand(first, rest.join(" "));
-            const response = this.upstream.run(session, command);
-            if (this.upstream.losesResponses) return;
-            const isControl = command.kind === CommandKind.Status || command.kind === CommandKind.Fence || command.kind === CommandKind.Demote;
-            const resultLine = response.error === undefined
-                ? `DONE ${response.receipt}`
-                : `ERR ${response.error === "busy" ? "BUSY" : response.error.replace("-", "").toUpperCase()} ${this.upstream.id}`;
-            const rows = isControl ? [this.formatStatus()] : response.rows;
-            socket.write(`${rows.map(row => `ROW ${row}\r\n`).join("")}${resultLine}\r\nREADY ${stateCodes[response.state]} ${this.formatPosition()}\r\n`);
-        });
+        for (;;) {
+            const line = yield* socket.receive();
+            if (line === undefined) return;
+            if (this.upstream.isUnresponsive) continue;
+            const [verb, fields] = splitOnce(line);
+            if (verb === "CONNECT") this.logIn(socket, fields.split(" "));
+            else this.runCommand(socket, session, parseCommand(...splitOnce(fields)));
+        }
+    }
+
+    private runCommand(socket: LineSocket, session: ReturnType<FakeUpstreamServer["createSession"]>, command: UpstreamCommand): void {
+        const response = this.upstream.run(session, command);
+        if (this.upstream.losesResponses || this.losesResponse(command)) return;
+        const isControl = command.kind === CommandKind.Status || command.kind === CommandKind.Fence || command.kind === CommandKind.Demote;
+        const resultLine = response.error === undefined ? `DONE ${response.receipt}` : `ERR ${formatError(response.error)} ${this.upstream.id}`;
+        const rows = isControl ? [this.formatStatus()] : response.rows;
+        socket.send(`${rows.map(row => `ROW ${row}\r\n`).join("")}${resultLine}\r\nREADY ${stateCodes[response.state]} ${this.formatPosition()}\r\n`);
     }
 
-    private logIn(socket: Socket, service: string, id: string | undefined): void {
+    private logIn(socket: LineSocket, [service, , id]: readonly string[]): void {
         const isAccepted = service === this.service && (id === undefined || id === this.upstream.id);
-        socket.write(isAccepted ? `READY I ${this.formatPosition()}\r\n` : "ERR MISROUTED wrong name\r\n");
+        socket.send(isAccepted ? `READY I ${this.formatPosition()}\r\n` : "ERR MISROUTED wrong name\r\n");
         if (!isAccepted) socket.end();
     }
 
