--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -132,7 +132,7 @@
         try {
             if (!(yield* connection.applySession(this.req.session))) return undefined;
             const prepared = this.req.session.findPrepared(statement);
-            const preparedName = prepared === undefined ? undefined : yield* connection.prepare(prepared.shape, prepared.readOnly);
+            const preparedName = prepared === undefined ? undefined : yield* connection.prepare(prepared);
             if (prepared !== undefined && preparedName === undefined) return undefined;
             return yield* connection.run(
                 { kind: CommandKind.Forward, id: statement.id, text: statement.text, name: statement.name, preparedName },
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -196,7 +196,7 @@
 
     private *prepare(req: CallerRequest, statement: CallerStatement, connection: UpstreamConnection): Operation<string | undefined> {
         const prepared = req.session.findPrepared(statement);
-        return prepared === undefined ? undefined : yield* connection.prepare(prepared.shape, prepared.readOnly);
+        return prepared === undefined ? undefined : yield* connection.prepare(prepared);
     }
 
     /** Starts a timer that suspects the primary if it is slow to respond. Returns a function that cancels the timer. */
--- a/packages/session/src/testing/fakeLink.ts
+++ b/packages/session/src/testing/fakeLink.ts
@@ -1,6 +1,7 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
+import { PreparedStatement } from "../entry/preparedStatement";
 import { CommandKind } from "../model/commandKind";
 import { UpstreamCommand } from "../model/upstreamCommand";
 import { UpstreamLink } from "../model/upstreamLink";
@@ -34,6 +35,11 @@
         return this.session.values;
     }
 
+    /** The prepared statements that the upstream has for this connection. */
+    public get preparedStatements(): ReadonlyMap<string, PreparedStatement> {
+        return this.session.prepared;
+    }
+
     public *run(command: UpstreamCommand, timeoutMs: number): Operation<UpstreamResponse | undefined> {
         let response: UpstreamResponse | undefined;
         try {
--- a/packages/session/src/upstream/upstreamConnection.test.ts
+++ b/packages/session/src/upstream/upstreamConnection.test.ts
@@ -6,6 +6,8 @@
 import { TestBed } from "../testing/testBed";
 import { UpstreamConnection } from "./upstreamConnection";
 
+const seed = 20261205;
+const definitionArbitrary = fc.record({ shape: fc.constantFrom("q", "q READ z", "q WRITE z", "WRITE z", " q", "q "), readOnly: fc.boolean() });
 const valuesArbitrary = fc.dictionary(fc.constantFrom("a", "b", "c"), fc.constantFrom("1", "2"));
 
 // Guards against statements that run on a shared connection with the values of another session.
@@ -25,3 +27,20 @@
         { seed: 20261204 },
     );
 });
+
+// Guards against a shape with spaces that is taken for the name, mode and shape of another session's prepared statement.
+test("a prepared name is one word and stands for the definition that was prepared under it", () => {
+    fc.assert(
+        fc.property(fc.array(definitionArbitrary, { minLength: 1, maxLength: 12 }), definitions => {
+            const bed = TestBed.create();
+            const link = FakeLink.create(bed.fakeGroup.find("u1"), bed.clock);
+            const connection = UpstreamConnection.create(link);
+            const names = definitions.map(definition => bed.run(connection.prepare(definition))!);
+            for (const [index, name] of names.entries()) {
+                assert.match(name, /^[a-z0-9]+$/);
+                assert.deepEqual(link.preparedStatements.get(name), { ...definitions[index] });
+            }
+        }),
+        { seed },
+    );
+});
--- a/packages/session/src/upstream/upstreamConnection.ts
+++ b/packages/session/src/upstream/upstreamConnection.ts
@@ -1,4 +1,5 @@
 import { Operation } from "@vanillarouter/base/operation";
+import { PreparedStatement } from "../entry/preparedStatement";
 import { SessionValues } from "../entry/sessionValues";
 import { CommandKind } from "../model/commandKind";
 import { TransactionState } from "../model/transactionState";
@@ -13,7 +14,9 @@
 export class UpstreamConnection {
     public idleSince = 0;
     private readonly values = new Map<string, string>();
-    private readonly prepared = new Set<string>();
+    /** Names of the prepared statements at the upstream, by their definitions. */
+    private readonly preparedNames = new Map<string, string>();
+    private preparedCount = 0;
 
     private constructor(public readonly link: UpstreamLink) {}
 
@@ -46,12 +49,17 @@
         return true;
     }
 
-    /** Prepares a statement unless the connection already has it. Returns its name at the upstream, or undefined on failure. */
-    public *prepare(shape: string, readOnly: boolean): Operation<string | undefined> {
-        const name = (readOnly ? "r" : "w") + shape;
-        if (this.prepared.has(name)) return name;
+    /**
+     * Prepares a statement unless the connection already has it. Returns its name at the upstream, or undefined on failure. Sessions
+     * share the connection, so the name is its own: callers' names collide, and a shape may contain spaces.
+     */
+    public *prepare({ shape, readOnly }: PreparedStatement): Operation<string | undefined> {
+        const definition = `${readOnly ? "READ" : "WRITE"} ${shape}`;
+        const known = this.preparedNames.get(definition);
+        if (known !== undefined) return known;
+        const name = `p${++this.preparedCount}`;
         if (!(yield* this.runSetupCommand({ kind: CommandKind.Prepare, name, text: shape, readOnly }))) return undefined;
-        this.prepared.add(name);
+        this.preparedNames.set(definition, name);
         return name;
     }
 
@@ -76,6 +84,6 @@
 
     private clearSessionState(): void {
         this.values.clear();
-        this.prepared.clear();
+        this.preparedNames.clear();
     }
 }
