--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -1,8 +1,8 @@
 import { Clock } from "@vanillarouter/base/clock";
-import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { Task } from "@vanillarouter/base/task";
 import * as bunyan from "bunyan";
+import { PositionSample } from "../freshness/positionSample";
 import { PositionSamples } from "../freshness/positionSamples";
 import { PrimaryVerifier } from "../freshness/primaryVerifier";
 import { SuspensionDetector } from "../freshness/suspensionDetector";
@@ -30,7 +30,7 @@
         log: bunyan,
     ) {
         this.primaryTracker = PrimaryTracker.create(service, log);
-        this.primaryVerifier = PrimaryVerifier.create(service, clock, pools, this.primaryTracker, pools.zone);
+        this.primaryVerifier = PrimaryVerifier.create(service, clock, pools, this.primaryTracker, suspension, pools.zone);
         this.positionSamples = PositionSamples.create(clock, suspension);
     }
 
@@ -55,7 +55,7 @@
      * Returns a position that covers every commit acknowledged more than `maxAgeMs` ago, requesting the primary's if none is
      * known. Returns undefined at `waitDeadline`, or earlier if the request fails or this VM is isolated.
      */
-    public *waitForFloor(maxAgeMs: number, waitDeadline: number): Operation<LogPosition | undefined> {
+    public *waitForFloor(maxAgeMs: number, waitDeadline: number): Operation<PositionSample | undefined> {
         for (;;) {
             if (this.positionSamples.newestAgeMs > maxAgeMs * refreshAgeFraction) this.startRefresh();
             const known = this.positionSamples.findOldest(maxAgeMs);
@@ -78,13 +78,13 @@
     private *refreshSamples(): Operation<void> {
         const primary = this.findPrimary();
         if (primary === undefined) return;
-        const askedAt = this.clock.now();
+        const askedAt = this.positionSamples.readClock();
         const status = yield* primary.pool.runControl(CommandKind.Status, statusTimeoutMs);
         if (status === undefined || !status.isPrimary || status.term !== primary.term) {
             this.primaryTracker.suspect("the primary did not confirm its role");
             return;
         }
-        const verification = yield* this.primaryVerifier.verify(primary.term, askedAt, askedAt + 2 * statusTimeoutMs);
+        const verification = yield* this.primaryVerifier.verify(primary.term, askedAt.at, askedAt.at + 2 * statusTimeoutMs);
         if (verification !== undefined) this.positionSamples.add(askedAt, status.received);
     }
 }
--- a/packages/session/src/entry/describeTarget.ts
+++ b/packages/session/src/entry/describeTarget.ts
@@ -7,6 +7,7 @@
         role: target.primaryTerm === undefined ? "replica" : "primary",
         term: target.primaryTerm,
         floor: target.floor === undefined ? undefined : `${target.floor.term}.${target.floor.position}`,
-        proofAgeMs: target.verifiedAt === undefined ? undefined : Math.round(startedAt - target.verifiedAt),
+        floorAgeMs: target.floorCoversUntil === undefined ? undefined : Math.round(startedAt - target.floorCoversUntil),
+        proofAgeMs: target.verifiedAt === undefined ? undefined : Math.round(startedAt - target.verifiedAt.at),
     };
 }
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -62,6 +62,7 @@
         const failure = yield* this.begin(statement, deadline);
         if (failure !== undefined) return failure;
         const { target, connection } = this.placement!;
+        const sentAt = this.group.positionSamples.readClock();
         const forwarded = yield* this.forward(statement, deadline);
         if (forwarded.err) return this.abortWithoutSlot();
         const response = forwarded.val;
@@ -84,7 +85,9 @@
         if (response.state === TransactionState.Idle) target.pool.returnConnection(connection);
         else target.pool.discard(connection);
         if (this.hasWritten) {
-            if (response.applied === undefined || !(yield* this.context.confirmer.confirm(this.group, target.primaryTerm!, response.applied, deadline))) {
+            const isConfirmed = response.applied !== undefined
+                && (yield* this.context.confirmer.confirm(this.group, target.primaryTerm!, response.applied, sentAt, deadline));
+            if (!isConfirmed) {
                 this.context.decisions.logFailed("commit.unconfirmed", {
                     req: statement.id,
                     transaction: this.req.id,
--- a/packages/session/src/entry/statementRunner.test.ts
+++ b/packages/session/src/entry/statementRunner.test.ts
@@ -1,10 +1,13 @@
+import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
 import { Task } from "@vanillarouter/base/task";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
 import { Freshness } from "../model/freshness";
 import { StatementKind } from "../model/statementKind";
 import { TestBed } from "../testing/testBed";
+import { OpenTransaction } from "./openTransaction";
 
 function createBed(): TestBed {
     const bed = TestBed.create();
@@ -124,3 +127,29 @@
     assert.ok(tasks.every(task => task.isSettled));
     assert.ok(bed.pools.all.every(pool => pool.connectionCount <= 14));
 });
+
+// Guards against stale reads on a VM that stood still while the answer to a write was on its way: the position in it is as old as the write.
+test("the position in a late answer to a write does not cover what other VMs committed meanwhile", () => {
+    for (const isTransaction of [false, true]) {
+        const bed = createBed();
+        const primary = bed.fakeGroup.find("u1");
+        const req = bed.createRequest(Freshness.Latest, false);
+        const transaction = OpenTransaction.create(bed.context, bed.group, req);
+        const write = bed.createStatement("w1", StatementKind.Write, "WRITE a 1");
+        if (isTransaction) bed.run(transaction.runStatement(write));
+        primary.executionMs = 800;
+        const running = Task.start(
+            isTransaction ? transaction.commit(bed.createStatement("w2", StatementKind.Commit, "COMMIT")) : bed.runner.run(bed.group, req, write),
+        );
+        for (let step = 0; step < 100; step++) bed.clock.advance(1);
+        primary.run(primary.createSession(), { kind: CommandKind.Forward, id: "other", text: "WRITE b 1" });
+        const otherCommit = { at: bed.clock.now(), position: primary.position };
+        while (!running.isSettled) bed.clock.advance(1);
+        const maxAgeMs = bed.clock.now() - otherCommit.at - 100;
+        const sample = bed.group.positionSamples.findOldest(maxAgeMs);
+        assert.ok(
+            sample === undefined || compareLogPositions(sample.position, otherCommit.position) >= 0,
+            `${JSON.stringify(sample)} is used as covering ${JSON.stringify(otherCommit)}`,
+        );
+    }
+});
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -3,6 +3,7 @@
 import { describeGroup } from "../cluster/describeGroup";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { Diagnostics } from "../diagnostics";
+import { ClockReading } from "../freshness/clockReading";
 import { CallerStatement } from "../model/callerStatement";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
@@ -37,7 +38,8 @@
     /** Whether the statement was sent; false if it could not be prepared. */
     readonly isSent: boolean;
     readonly response: UpstreamResponse | undefined;
-    readonly sentAt: number;
+    /** Read before the statement was sent. */
+    readonly sentAt: ClockReading;
 }
 
 /** Runs single statements: selects an upstream, retries what is safe to repeat and confirms writes before they are acknowledged. */
@@ -165,7 +167,7 @@
         connection: UpstreamConnection,
         deadline: number,
     ): Operation<AttemptResult> {
-        const sentAt = this.context.clock.now();
+        const sentAt = group.positionSamples.readClock();
         let response: UpstreamResponse | undefined;
         const cancelTimer = this.startSlowPrimaryTimer(group, target);
         try {
@@ -225,17 +227,17 @@
         req: CallerRequest,
         target: Target,
         response: UpstreamResponse,
-        sentAt: number,
+        sentAt: ClockReading,
         deadline: number,
     ): Operation<StatementOutcome> {
         target.pool.recordResponse(response.applied);
-        target.pool.responseTimes.add(response.error === ErrorKind.Busy ? busyResponseTimeMs : this.context.clock.now() - sentAt);
+        target.pool.responseTimes.add(response.error === ErrorKind.Busy ? busyResponseTimeMs : this.context.clock.now() - sentAt.at);
         if (response.error !== undefined) {
             if (response.error === ErrorKind.ReadOnly) group.primaryTracker.suspect("the primary rejected a write as read-only");
             return createFailedOutcome(response.error, Diagnostics.upstreamFailed, response.errorText);
         }
         if (!req.readOnly && target.primaryTerm !== undefined) {
-            if (response.applied === undefined || !(yield* this.context.confirmer.confirm(group, target.primaryTerm, response.applied, deadline))) {
+            if (response.applied === undefined || !(yield* this.context.confirmer.confirm(group, target.primaryTerm, response.applied, sentAt, deadline))) {
                 this.context.decisions.logFailed("commit.unconfirmed", {
                     req: req.id,
                     upstream: target.pool.upstream.id,
@@ -247,7 +249,8 @@
             req.floors.raise(req.workClass.service, response.applied);
         }
         else if (req.workClass.freshness === Freshness.Latest && target.verifiedAt !== undefined && response.applied?.term === target.primaryTerm) {
-            group.positionSamples.add(Math.min(target.verifiedAt, sentAt), response.applied!);
+            // The primary was verified before the statement was sent.
+            group.positionSamples.add(target.verifiedAt, response.applied!);
         }
         return { rows: response.rows, receipt: response.receipt, error: undefined, text: "" };
     }
--- a/packages/session/src/entry/target.ts
+++ b/packages/session/src/entry/target.ts
@@ -1,4 +1,5 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ClockReading } from "../freshness/clockReading";
 import { UpstreamPool } from "../upstream/upstreamPool";
 
 /** An upstream that may run an operation, and the evidence that it is fresh enough. */
@@ -8,6 +9,8 @@
     readonly floor: LogPosition | undefined;
     /** Term of the primary; undefined if the operation runs on a replica. */
     readonly primaryTerm: number | undefined;
-    /** The primary is verified to have every commit acknowledged before this local time. Undefined without a verification. */
-    readonly verifiedAt: number | undefined;
+    /** Local time in milliseconds before which every acknowledged commit is at or below the floor. Undefined without a floor. */
+    readonly floorCoversUntil: number | undefined;
+    /** The primary is verified to have every commit acknowledged before this moment. Undefined without a verification. */
+    readonly verifiedAt: ClockReading | undefined;
 }
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -7,6 +7,7 @@
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { computeRetryDelayMs } from "@vanillarouter/scheduling/computeRetryDelayMs";
 import { ServiceGroup } from "../cluster/serviceGroup";
+import { PositionSample } from "../freshness/positionSample";
 import { Freshness } from "../model/freshness";
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { CallerRequest } from "./callerRequest";
@@ -42,18 +43,17 @@
         const mayUseReplica = req.readOnly && req.workClass.freshness !== Freshness.Latest;
         if (req.workClass.freshness === Freshness.Latest && req.mayRead) return yield* this.findLatestReadTarget(group, req, waitDeadline);
         if (!req.mayRead) return yield* this.findWriteTarget(group, waitDeadline);
-        const floor = yield* this.waitForFloor(group, req, waitDeadline);
-        if (floor === undefined) return undefined;
-        const required = this.selectHigherPosition(floor, req.floors.find(req.workClass.service));
+        const sample = yield* this.waitForFloor(group, req, waitDeadline);
+        if (sample === undefined) return undefined;
+        const floor = this.selectHigherPosition(sample.position, req.floors.find(req.workClass.service));
+        const evidence = { floor, floorCoversUntil: sample.coversUntil, verifiedAt: undefined };
         if (mayUseReplica) {
-            const pool = this.chooseReadPool(group, required, triedUpstreamIds);
+            const pool = this.chooseReadPool(group, floor, triedUpstreamIds);
             const isPrimary = pool?.upstream.id === group.primaryTracker.primary?.id;
-            return pool === undefined
-                ? undefined
-                : { pool, floor: required, primaryTerm: isPrimary ? group.primaryTracker.primary?.term : undefined, verifiedAt: undefined };
+            return pool === undefined ? undefined : { pool, primaryTerm: isPrimary ? group.primaryTracker.primary?.term : undefined, ...evidence };
         }
         const primary = yield* this.waitForPrimary(group, waitDeadline);
-        return primary === undefined ? undefined : { pool: primary.pool, floor: required, primaryTerm: primary.term, verifiedAt: undefined };
+        return primary === undefined ? undefined : { pool: primary.pool, primaryTerm: primary.term, ...evidence };
     }
 
     /**
@@ -77,7 +77,7 @@
         const primary = yield* this.waitForPrimary(group, waitDeadline);
         return primary === undefined || group.isIsolated
             ? undefined
-            : { pool: primary.pool, floor: undefined, primaryTerm: primary.term, verifiedAt: undefined };
+            : { pool: primary.pool, floor: undefined, floorCoversUntil: undefined, primaryTerm: primary.term, verifiedAt: undefined };
     }
 
     /** Waits until a primary is known. Returns undefined at `waitDeadline`, or if this VM is isolated. */
@@ -96,16 +96,18 @@
             const primary = yield* this.waitForPrimary(group, waitDeadline);
             if (primary === undefined || group.isIsolated) return undefined;
             const verification = yield* group.primaryVerifier.verify(primary.term, req.receivedAt, waitDeadline);
-            if (verification !== undefined) return { pool: primary.pool, floor: undefined, primaryTerm: primary.term, verifiedAt: verification.askedAt };
+            if (verification !== undefined) {
+                return { pool: primary.pool, floor: undefined, floorCoversUntil: undefined, primaryTerm: primary.term, verifiedAt: verification.askedAt };
+            }
             if (this.clock.now() >= waitDeadline) return undefined;
             yield* sleep(this.clock, verificationRetryMs);
         }
     }
 
-    private *waitForFloor(group: ServiceGroup, req: CallerRequest, waitDeadline: number): Operation<LogPosition | undefined> {
+    private *waitForFloor(group: ServiceGroup, req: CallerRequest, waitDeadline: number): Operation<PositionSample | undefined> {
         for (;;) {
-            const floor = yield* group.waitForFloor(req.workClass.maxAgeMs - arrivalMarginMs, waitDeadline);
-            if (floor !== undefined || this.clock.now() >= waitDeadline || group.isIsolated) return floor;
+            const sample = yield* group.waitForFloor(req.workClass.maxAgeMs - arrivalMarginMs, waitDeadline);
+            if (sample !== undefined || this.clock.now() >= waitDeadline || group.isIsolated) return sample;
             yield* sleep(this.clock, verificationRetryMs);
         }
     }
--- a/packages/session/src/entry/writeConfirmer.ts
+++ b/packages/session/src/entry/writeConfirmer.ts
@@ -4,6 +4,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { sleep } from "@vanillarouter/base/sleep";
 import { ServiceGroup } from "../cluster/serviceGroup";
+import { ClockReading } from "../freshness/clockReading";
 
 /** How long a commit waits until a replica has received it, which is the second copy; after that, the verification that its primary is current is sufficient. */
 const secondCopyTimeoutMs = 12;
@@ -23,17 +24,18 @@
         return new WriteConfirmer(clock);
     }
 
-    public *confirm(group: ServiceGroup, term: number, position: LogPosition, waitDeadline: number): Operation<boolean> {
+    /** Returns whether a commit at `position` may be acknowledged. `sentAt` was read before the statement was sent to the primary of `term`. */
+    public *confirm(group: ServiceGroup, term: number, position: LogPosition, sentAt: ClockReading, waitDeadline: number): Operation<boolean> {
         if (position.term !== term) return false;
-        const committedAt = this.clock.now();
-        let since = committedAt;
+        const answeredAt = this.clock.now();
+        let since = answeredAt;
         while (this.clock.now() < waitDeadline) {
             const verification = yield* group.primaryVerifier.verify(term, since, waitDeadline);
             if (group.primaryTracker.primary !== undefined && group.primaryTracker.primary.term > term) return false;
             if (verification !== undefined) {
-                group.positionSamples.add(committedAt, position);
+                group.positionSamples.add(sentAt, position);
                 const hasSecondCopy = compareLogPositions(verification.received, position) >= 0;
-                if (hasSecondCopy || this.clock.now() - committedAt >= secondCopyTimeoutMs) return true;
+                if (hasSecondCopy || this.clock.now() - answeredAt >= secondCopyTimeoutMs) return true;
             }
             yield* sleep(this.clock, retryDelayMs);
             since = this.clock.now();
--- a/packages/session/src/freshness/positionSamples.ts
+++ b/packages/session/src/freshness/positionSamples.ts
@@ -1,20 +1,16 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { LogPosition } from "@vanillarouter/base/logPosition";
+import { ClockReading } from "./clockReading";
+import { PositionSample } from "./positionSample";
 import { SuspensionDetector } from "./suspensionDetector";
 
-interface Sample {
-    /** Every commit acknowledged before this local time is at or below `position` in the log. */
-    readonly coversUntil: number;
-    readonly position: LogPosition;
-}
-
 /** A new sample replaces the newest one if it is less than this time after the second newest. */
 const minSpacingMs = 100;
 const maxSamples = 40;
 
 /** Verified log positions of a group's primary over the last seconds. */
 export class PositionSamples {
-    private samples: Sample[] = [];
+    private samples: PositionSample[] = [];
     private generation: number;
 
     private constructor(private readonly clock: Clock, private readonly suspension: SuspensionDetector) {
@@ -25,8 +21,19 @@
         return new PositionSamples(clock, suspension);
     }
 
-    public add(coversUntil: number, position: LogPosition): void {
+    /** Reads the clock, to date a position that is about to be requested. */
+    public readClock(): ClockReading {
+        return this.suspension.readClock();
+    }
+
+    /**
+     * Adds a position that the primary reported in response to a request. `askedAt` must have been read before the request was sent:
+     * a response may have been on its way for long, and says nothing about what was committed meanwhile.
+     */
+    public add(askedAt: ClockReading, position: LogPosition): void {
         this.dropAfterSuspension();
+        if (askedAt.generation !== this.generation) return;
+        const coversUntil = askedAt.at;
         const last = this.samples.at(-1);
         if (last !== undefined && coversUntil <= last.coversUntil) return;
         const previous = this.samples.at(-2);
@@ -35,11 +42,11 @@
         if (this.samples.length > maxSamples) this.samples.shift();
     }
 
-    /** Returns the oldest position that covers every commit acknowledged more than `maxAgeMs` ago. */
-    public findOldest(maxAgeMs: number): LogPosition | undefined {
+    /** Returns the oldest position that covers every commit acknowledged more than `maxAgeMs` ago, and the local time that it covers. */
+    public findOldest(maxAgeMs: number): PositionSample | undefined {
         this.dropAfterSuspension();
         const minCoversUntil = this.clock.now() - maxAgeMs;
-        return this.samples.find(sample => sample.coversUntil >= minCoversUntil)?.position;
+        return this.samples.find(sample => sample.coversUntil >= minCoversUntil);
     }
 
     /** Age of the newest sample in milliseconds; infinite without samples. */
--- a/packages/session/src/freshness/primaryVerifier.test.ts
+++ b/packages/session/src/freshness/primaryVerifier.test.ts
@@ -62,5 +62,5 @@
     const since = bed.clock.now();
     const second = bed.run(bed.group.primaryVerifier.verify(1, since, since + 800));
     assert.ok(first !== undefined && second !== undefined);
-    assert.ok(second.askedAt >= since && second.askedAt > first.askedAt);
+    assert.ok(second.askedAt.at >= since && second.askedAt.at > first.askedAt.at);
 });
--- a/packages/session/src/freshness/primaryVerifier.ts
+++ b/packages/session/src/freshness/primaryVerifier.ts
@@ -7,7 +7,9 @@
 import { CommandKind } from "../model/commandKind";
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { UpstreamPools } from "../upstream/upstreamPools";
+import { ClockReading } from "./clockReading";
 import { PrimaryVerification } from "./primaryVerification";
+import { SuspensionDetector } from "./suspensionDetector";
 
 /** Timeout of the status request to the first replica. It is short, because a replica responds within milliseconds unless it is disconnected or busy. */
 const firstStatusTimeoutMs = 150;
@@ -19,7 +21,7 @@
 const doubtfulCost = 10;
 
 interface VerificationRound {
-    readonly startedAt: number;
+    readonly startedAt: ClockReading;
     readonly done: Signal<PrimaryVerification | undefined>;
 }
 
@@ -38,11 +40,19 @@
         private readonly clock: Clock,
         private readonly pools: UpstreamPools,
         private readonly primaryTracker: PrimaryTracker,
+        private readonly suspension: SuspensionDetector,
         private readonly zone: string,
     ) {}
 
-    public static create(service: string, clock: Clock, pools: UpstreamPools, primaryTracker: PrimaryTracker, zone: string): PrimaryVerifier {
-        return new PrimaryVerifier(service, clock, pools, primaryTracker, zone);
+    public static create(
+        service: string,
+        clock: Clock,
+        pools: UpstreamPools,
+        primaryTracker: PrimaryTracker,
+        suspension: SuspensionDetector,
+        zone: string,
+    ): PrimaryVerifier {
+        return new PrimaryVerifier(service, clock, pools, primaryTracker, suspension, zone);
     }
 
     /** Returns a verification of `term` that began at or after `since`; undefined if there is none by `waitDeadline`. */
@@ -50,7 +60,7 @@
         while (this.clock.now() < waitDeadline) {
             const verification = yield* this.joinRound(since, waitDeadline);
             if (verification === undefined) return undefined;
-            if (verification.askedAt >= since) return verification.term === term ? verification : undefined;
+            if (verification.askedAt.at >= since) return verification.term === term ? verification : undefined;
         }
         return undefined;
     }
@@ -61,12 +71,12 @@
         if (round === undefined) return undefined;
         const verification = yield* withTimeout(this.clock, Math.max(1, waitDeadline - this.clock.now()), round.done.wait());
         // A failed round that began before `since` says nothing about this request, which therefore joins the next round.
-        if (verification === undefined && round.startedAt < since && this.clock.now() < waitDeadline) return yield* this.joinRound(since, waitDeadline);
+        if (verification === undefined && round.startedAt.at < since && this.clock.now() < waitDeadline) return yield* this.joinRound(since, waitDeadline);
         return verification;
     }
 
     private startRound(): void {
-        const round: VerificationRound = { startedAt: this.clock.now(), done: Signal.create() };
+        const round: VerificationRound = { startedAt: this.suspension.readClock(), done: Signal.create() };
         this.round = round;
         const task = Task.start(this.askReplicas(round.startedAt));
         task.onSettled(() => {
@@ -75,7 +85,7 @@
         });
     }
 
-    private *askReplicas(askedAt: number): Operation<PrimaryVerification | undefined> {
+    private *askReplicas(askedAt: ClockReading): Operation<PrimaryVerification | undefined> {
         const primary = this.primaryTracker.primary;
         if (primary === undefined) return undefined;
         const replicas = this.pools.list(this.service).filter(pool => pool.upstream.id !== primary.id);
--- a/packages/session/src/freshness/suspensionDetector.ts
+++ b/packages/session/src/freshness/suspensionDetector.ts
@@ -1,4 +1,5 @@
 import { Clock } from "@vanillarouter/base/clock";
+import { ClockReading } from "./clockReading";
 
 /** If the offset between the two clocks changes by more than this, the process was suspended or the time of day was set. */
 const toleranceMs = 60;
@@ -19,6 +20,11 @@
         return new SuspensionDetector(clock, readTimeOfDay);
     }
 
+    /** Reads the clock, to date evidence that is about to be requested. */
+    public readClock(): ClockReading {
+        return { at: this.clock.now(), generation: this.check() };
+    }
+
     /** Returns a number that changes whenever a suspension or a step of the time of day is detected. */
     public check(): number {
         const offsetMs = this.readTimeOfDay() - this.clock.now();
