--- a/packages/vm/src/links.test.ts
+++ b/packages/vm/src/links.test.ts
@@ -193,6 +193,8 @@
 
 test("P8: a VM wrongly declared dead completes pending calls (guards against breaking the transactions of a VM that leaves)", () =>
     withLink(async ({ link, pool, vm }) => {
+        // A link that is still being opened has no pending calls that were sent.
+        (await run(link.execute(createRequest("first", "select", StatementKind.Read)))).unwrap();
         const response = run(link.execute(createRequest("last", "wait 1500", StatementKind.Write, 5_000)));
         await run(sleep(clock, 100));
         pool.closeUnlessResponsive(vm);
