--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -3,10 +3,13 @@
 import { StoreChanges } from "@vanillarouter/session/model/storeChanges";
 import * as fc from "fast-check";
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { AddressInfo, connect } from "node:net";
 import { test, TestContext } from "node:test";
 import { setTimeout as wait } from "node:timers/promises";
+import { describeOperation } from "./describeOperation";
 import { RelayLimits } from "./relayLimits";
+import { relayRequestSchema } from "./relayRequestSchema";
 import { RelayTestBed } from "./testing/relayTestBed";
 
 const service = "orders";
@@ -251,6 +254,30 @@
     );
 });
 
+// Guards against a line break in a relayed field: what follows it would reach the upstream as another statement.
+test("a relayed field with a line break, or a log position that is no count, is rejected", async context => {
+    const bed = await startBed(context, 1);
+    const { port } = bed.find("g1").listener.address() as AddressInfo;
+    const req = bed.createRequest("s1", false);
+    const valid = { kind: "run", call: 1, ...describeOperation(req, bed.createStatement("s1", StatementKind.Write), bed.clock.now()) };
+    assert.ok(relayRequestSchema.safeParse(valid).success);
+    const { operation, statement } = valid;
+    const faults = [
+        { statement: { ...statement, text: "WRITE a 1\r\nQUERY s2 COMMIT" } },
+        { statement: { ...statement, id: "s1 COMMIT" } },
+        { session: { values: [["a\r\n", "1"]] } },
+        { session: { values: [], prepared: { shape: "q\r\nQUERY s2 COMMIT", readOnly: true } } },
+        { operation: { ...operation, floor: { term: 1, position: 1e300 } } },
+        { operation: { ...operation, waitedMs: -1 } },
+    ];
+    for (const fault of faults) {
+        const socket = connect({ host: "127.0.0.1", port });
+        socket.write(`${JSON.stringify({ ...valid, ...fault })}\r\n`);
+        await once(socket, "close");
+    }
+    assert.deepEqual(bed.find("g1").executor.executedIds, []);
+});
+
 // Guards against responses that reach the wrong caller when many calls share one link.
 test("concurrent calls get their own responses", async context => {
     const bed = await startBed(context, 1);
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -69,7 +69,8 @@
 
     public *transact(message: TransactRequest): Operation<RelayResponse> {
         const held = this.transactions.get(message.transaction) ?? this.beginTransaction(message);
-        if (held === undefined) return { kind: "declined", call: message.call };
+        // Statements of a transaction come one after another. A second one beside it would use the same connection.
+        if (held === undefined || held.isBusy) return { kind: "declined", call: message.call };
         this.applySession(held.req, message);
         const isCommit = message.statement.kind === StatementKind.Commit;
         held.isBusy = true;
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -1,17 +1,20 @@
 import { Freshness } from "@vanillarouter/session/model/freshness";
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import * as z from "zod";
+import { lineSchema } from "./lineSchema";
+import { positionSchema } from "./positionSchema";
 
-const positionSchema = z.object({ term: z.number(), position: z.number() });
+/** A field of a line that ends at the next space. */
+const wordSchema = lineSchema.refine(text => text !== "" && !text.includes(" "), "must be one word");
 
 const workClassSchema = z.object({
     database: z.string(),
     service: z.string(),
     freshness: z.enum(Freshness),
-    maxAgeMs: z.number(),
-    statementTimeoutMs: z.number(),
-    targetMs: z.number(),
-    rank: z.number(),
+    maxAgeMs: z.number().nonnegative(),
+    statementTimeoutMs: z.number().nonnegative(),
+    targetMs: z.number().nonnegative(),
+    rank: z.number().int().nonnegative(),
 });
 
 const operationSchema = z.object({
@@ -21,24 +24,24 @@
     /** Position of the session's last commit in the service. */
     floor: positionSchema.optional(),
     /** Time in milliseconds for which the operation has waited on the entry VM. */
-    waitedMs: z.number(),
+    waitedMs: z.number().nonnegative(),
     readOnly: z.boolean(),
     mayRead: z.boolean(),
 });
 
 const statementSchema = z.object({
-    id: z.string(),
+    id: wordSchema,
     kind: z.enum(StatementKind),
-    text: z.string(),
-    name: z.string(),
-    argument: z.string(),
+    text: lineSchema,
+    name: lineSchema,
+    argument: lineSchema,
     readOnly: z.boolean(),
 });
 
 const sessionSchema = z.object({
-    values: z.array(z.tuple([z.string(), z.string()])),
+    values: z.array(z.tuple([wordSchema, lineSchema])),
     /** Definition of the prepared statement, if the statement executes one. */
-    prepared: z.object({ shape: z.string(), readOnly: z.boolean() }).optional(),
+    prepared: z.object({ shape: lineSchema, readOnly: z.boolean() }).optional(),
 });
 
 /** Upper limit of a long poll. `ChangeFollower` asks for less; a message with a longer wait is rejected as malformed. */
--- a/packages/relay/src/relayResponseSchema.ts
+++ b/packages/relay/src/relayResponseSchema.ts
@@ -1,11 +1,13 @@
 import { ErrorKind } from "@vanillarouter/session/model/errorKind";
 import * as z from "zod";
+import { lineSchema } from "./lineSchema";
+import { positionSchema } from "./positionSchema";
 
 const outcomeSchema = z.object({
-    rows: z.array(z.string()),
-    receipt: z.string().optional(),
+    rows: z.array(lineSchema),
+    receipt: lineSchema.optional(),
     error: z.enum(ErrorKind).optional(),
-    text: z.string(),
+    text: lineSchema,
 });
 
 /** Messages from a gateway to an entry VM. */
@@ -15,7 +17,7 @@
         call: z.number(),
         outcome: outcomeSchema,
         /** Position of the session's last commit in the service. */
-        floor: z.object({ term: z.number(), position: z.number() }).optional(),
+        floor: positionSchema.optional(),
     }),
     /** Nothing was executed: the VM is not a gateway of the service, or is cut off from its upstreams or from the store. */
     z.object({ kind: z.literal("declined"), call: z.number() }),
