--- a/packages/vm/src/heartbeatCodec.ts
+++ b/packages/vm/src/heartbeatCodec.ts
@@ -12,7 +12,7 @@
 const maxPacketBytes = 1200;
 
 const name = z.string().min(1).max(128);
-const port = z.number().int().min(0).max(65535);
+const port = z.number().int().min(1).max(65535);
 const vmFields = [name, name, name, port, port, z.number().int().min(0), z.boolean()] as const;
 const schema = z.tuple([
     z.enum(HeartbeatKind),
--- a/packages/vm/src/membership.test.ts
+++ b/packages/vm/src/membership.test.ts
@@ -8,6 +8,7 @@
 import { HeartbeatKind } from "./heartbeatKind";
 import { Membership } from "./membership";
 import { MemberState } from "./memberState";
+import { requestSchemas } from "./requestSchemas";
 import { MemoryNetwork } from "./testing/memoryNetwork";
 import { PausableClock } from "./testing/pausableClock";
 
@@ -208,3 +209,18 @@
     for (const rate of rates) assert.ok(rate < 10, `${rates.join(", ")} messages per second`);
     assert.ok(rates[2]! < rates[0]! * 1.5 + 1, `${rates.join(", ")} messages per second`);
 });
+
+// Guards against a member whose port cannot be sent to: the error would end the task that sends heartbeats.
+test("a member with an impossible port or without a name is rejected", () => {
+    const vm = { id: "vm-9", zone: "z", host: "10.0.0.9", heartbeatPort: 7101, linkPort: 7201, incarnation: 1, leaving: false };
+    const createMessage = (fault: object): object => ({
+        zone: "z",
+        digests: {},
+        updates: [{ vm: { ...vm, ...fault }, state: MemberState.Alive }],
+        configurationMark: 0,
+    });
+    assert.ok(requestSchemas.members.safeParse(createMessage({})).success);
+    for (const fault of [{ heartbeatPort: 70_000 }, { linkPort: 0 }, { heartbeatPort: 1.5 }, { id: "" }, { host: "" }, { incarnation: -1 }]) {
+        assert.equal(requestSchemas.members.safeParse(createMessage(fault)).success, false, JSON.stringify(fault));
+    }
+});
--- a/packages/vm/src/requestSchemas.ts
+++ b/packages/vm/src/requestSchemas.ts
@@ -16,13 +16,17 @@
 const version = z.number().int().min(0);
 const item = z.object({ changeId: z.string(), value: z.unknown() });
 
+const name = z.string().min(1);
+/** Sending to a port outside this range throws an error. */
+const port = z.number().int().min(1).max(65_535);
+
 const vm = z.object({
-    id: z.string(),
-    zone: z.string(),
-    host: z.string(),
-    heartbeatPort: z.number(),
-    linkPort: z.number(),
-    incarnation: z.number(),
+    id: name,
+    zone: name,
+    host: name,
+    heartbeatPort: port,
+    linkPort: port,
+    incarnation: z.number().int().min(0),
     leaving: z.boolean(),
 });
 
