--- a/packages/base/src/systemClock.ts
+++ b/packages/base/src/systemClock.ts
@@ -1,6 +1,9 @@
 import { performance } from "node:perf_hooks";
 import { Clock } from "./clock";
 
+/** A timer with a longer delay would fire at once. */
+const maxTimerMs = 2_147_483_647;
+
 /** The monotonic clock of the process. */
 export class SystemClock implements Clock {
     private constructor() {}
@@ -14,7 +17,7 @@
     }
 
     public startTimer(delayMs: number, listener: () => void): () => void {
-        const timer = setTimeout(listener, delayMs);
+        const timer = setTimeout(listener, Math.min(delayMs, maxTimerMs));
         return () => clearTimeout(timer);
     }
 }
--- a/packages/session/src/cluster/clusterState.test.ts
+++ b/packages/session/src/cluster/clusterState.test.ts
@@ -124,3 +124,15 @@
     cluster.dropMissing();
     assert.equal(cluster.findUpstream("u1"), undefined);
 });
+
+// Guards against work for a service that the configuration does not name: its entries may come from another deployment.
+test("a service counts only if the configuration names it", () => {
+    const cluster = ClusterState.create(own, ManualClock.create());
+    cluster.putUpstream(upstream);
+    assert.deepEqual([...cluster.services], []);
+    cluster.applyConfiguration({
+        ...createConfiguration(1),
+        services: new Map([["s", { name: "s", maxConnections: 4 }], ["t", { name: "t", maxConnections: 4 }]]),
+    });
+    assert.deepEqual([...cluster.services], ["s"]);
+});
--- a/packages/session/src/cluster/clusterState.ts
+++ b/packages/session/src/cluster/clusterState.ts
@@ -80,8 +80,10 @@
         return this.members.get(id);
     }
 
+    /** The services of the configuration that have an upstream. Entries of other services are none of this deployment's. */
     public get services(): ReadonlySet<string> {
-        return new Set([...this.upstreams.values()].map(upstream => upstream.service));
+        const listed = [...this.upstreams.values()].map(upstream => upstream.service);
+        return new Set(listed.filter(service => this.currentConfiguration?.services.has(service) === true));
     }
 
     public get upstreamIds(): readonly string[] {
