--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -106,3 +106,12 @@
     assert.equal(pool.consecutiveFailures, failuresBefore);
     for (const task of blocking) task.cancel();
 });
+
+// Guards against an EXEC under the caller's own name, which another session's statement may have on the connection.
+test("an EXEC whose definition is not known is not sent", () => {
+    const bed = TestBed.create();
+    const transaction = createTransaction(bed);
+    const statement = { ...bed.createStatement("s1", StatementKind.Execute, "EXEC p1 a"), name: "p1" };
+    assert.equal(bed.run(transaction.runStatement(statement)).error, ErrorKind.Aborted);
+    assert.deepEqual(bed.fakeGroup.servers.flatMap(server => server.executedIds), []);
+});
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -9,6 +9,7 @@
 import { CallerTransaction } from "../model/callerTransaction";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
+import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { UpstreamResponse } from "../model/upstreamResponse";
 import { UpstreamConnection } from "../upstream/upstreamConnection";
@@ -136,7 +137,8 @@
             if (!(yield* connection.applySession(this.req.session))) return undefined;
             const prepared = this.req.session.findPrepared(statement);
             const preparedName = prepared === undefined ? undefined : yield* connection.prepare(prepared);
-            if (prepared !== undefined && preparedName === undefined) return undefined;
+            // Under the caller's own name, the connection may have the statement of another session.
+            if (statement.kind === StatementKind.Execute && preparedName === undefined) return undefined;
             return yield* connection.run(
                 { kind: CommandKind.Forward, id: statement.id, text: statement.text, name: statement.name, preparedName },
                 Math.max(1, deadline - this.context.clock.now()),
