Carry the tenant of an operation to the upstream connection

Interfaces for authentication, quotas and connections by tenant: the login's credential, the tenant of an operation on links between VMs, the tenant of a dialled connection, and the admission check of a session. Nothing sets a tenant yet, so upstreams still get the same login.

--- a/packages/relay/src/describeOperation.ts
+++ b/packages/relay/src/describeOperation.ts
@@ -10,6 +10,7 @@
         operation: {
             id: req.id,
             workClass: req.workClass,
+            tenant: req.tenant,
             floor: req.floors.find(req.workClass.service),
             waitedMs: Math.max(0, now - req.receivedAt),
             readOnly: req.readOnly,
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -115,10 +115,10 @@
     }
 
     private createRequest(operation: RelayedOperation): CallerRequest {
-        const { id, workClass, floor, waitedMs, readOnly, mayRead } = operation;
+        const { id, workClass, tenant, floor, waitedMs, readOnly, mayRead } = operation;
         const floors = FloorTable.create();
         if (floor !== undefined) floors.raise(workClass.service, floor);
-        return { id, workClass, session: SessionValues.create(), floors, receivedAt: this.clock.now() - waitedMs, readOnly, mayRead };
+        return { id, workClass, tenant, session: SessionValues.create(), floors, receivedAt: this.clock.now() - waitedMs, readOnly, mayRead };
     }
 
     /** Applies the session state sent with a statement. It may change within a transaction, so every statement carries it. */
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -21,6 +21,7 @@
     /** Id of the operation's first statement. */
     id: z.string(),
     workClass: workClassSchema,
+    tenant: wordSchema.optional(),
     /** Position of the session's last commit in the service. */
     floor: positionSchema.optional(),
     /** Time in milliseconds for which the operation has waited on the entry VM. */
--- a/packages/session/src/entry/callerRequest.ts
+++ b/packages/session/src/entry/callerRequest.ts
@@ -7,6 +7,8 @@
     /** Id of the operation's first statement, used in the log. */
     readonly id: string;
     readonly workClass: WorkClass;
+    /** Name of the tenant on whose behalf the operation runs; undefined if the caller is not authenticated. */
+    readonly tenant?: string;
     readonly session: SessionValues;
     readonly floors: FloorTable;
     /** Local time in milliseconds at which the first byte of the operation was read. */
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -122,8 +122,8 @@
     /** Sends a statement in a slot. Fails with `Busy` if it was not sent because there was no slot in time. */
     private *forward(statement: CallerStatement, deadline: number): Operation<Result<UpstreamResponse | undefined, ErrorKind>> {
         const { target, connection } = this.placement!;
-        const { session, workClass } = this.req;
-        const slotRequest = { session, workClass, receivedAt: this.context.clock.now(), deadline, waitDeadline: deadline };
+        const { session, workClass, tenant } = this.req;
+        const slotRequest = { session, workClass, tenant, receivedAt: this.context.clock.now(), deadline, waitDeadline: deadline };
         const forwarded = yield* target.pool.continueTransaction(slotRequest, () => this.sendStatement(statement, connection, deadline));
         if (forwarded.err) return forwarded;
         if (forwarded.val === undefined) target.pool.recordFailure();
@@ -203,8 +203,8 @@
     }
 
     private *beginAt(target: Target, waitDeadline: number, deadline: number): Operation<boolean> {
-        const { session, workClass, receivedAt } = this.req;
-        const slotRequest = { session, workClass, receivedAt, deadline: this.context.targets.chooseSlotDeadline(this.req, waitDeadline), waitDeadline };
+        const { session, workClass, tenant, receivedAt } = this.req;
+        const slotRequest = { session, workClass, tenant, receivedAt, deadline: this.context.targets.chooseSlotDeadline(this.req, waitDeadline), waitDeadline };
         const ran = yield* target.pool.run(slotRequest, connection => this.sendBegin(target, connection, deadline));
         if (ran.err) {
             if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) this.group.primaryTracker.suspect(`dial failed: ${ran.val}`);
--- a/packages/session/src/entry/sessionContext.ts
+++ b/packages/session/src/entry/sessionContext.ts
@@ -1,4 +1,5 @@
 import { ClusterState } from "../cluster/clusterState";
+import { AdmissionControl } from "../model/admissionControl";
 import { EntryContext } from "./entryContext";
 import { ExecutorSelector } from "./executorSelector";
 import { Shutdown } from "./shutdown";
@@ -8,4 +9,5 @@
     readonly cluster: ClusterState;
     readonly executors: ExecutorSelector;
     readonly shutdown: Shutdown;
+    readonly admission: AdmissionControl;
 }
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -147,8 +147,8 @@
         waitDeadline: number,
         deadline: number,
     ): Operation<StatementOutcome> {
-        const { session, workClass, receivedAt } = req;
-        const slotRequest = { session, workClass, receivedAt, deadline: this.context.targets.chooseSlotDeadline(req, waitDeadline), waitDeadline };
+        const { session, workClass, tenant, receivedAt } = req;
+        const slotRequest = { session, workClass, tenant, receivedAt, deadline: this.context.targets.chooseSlotDeadline(req, waitDeadline), waitDeadline };
         const ran = yield* target.pool.run(slotRequest, connection => this.runOnConnection(group, req, statement, target, connection, deadline));
         if (ran.ok) return yield* this.evaluateAttempt(group, req, target, ran.val, deadline);
         if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) group.primaryTracker.suspect(`dial failed: ${ran.val}`);
--- a/packages/session/src/model/routingConfiguration.ts
+++ b/packages/session/src/model/routingConfiguration.ts
@@ -1,4 +1,5 @@
 import { ServiceSettings } from "./serviceSettings";
+import { TenantDirectory } from "./tenantDirectory";
 import { WorkClass } from "./workClass";
 
 /** One version of the configuration that operators set. */
@@ -8,4 +9,8 @@
     readonly services: ReadonlyMap<string, ServiceSettings>;
     /** Time in milliseconds after which an idle transaction may be rolled back. */
     readonly transactionIdleMs: number;
+    /** Undefined if the configuration names no tenants: callers are then not authenticated. */
+    readonly tenants?: TenantDirectory;
+    /** Databases that callers may use without a key. */
+    readonly publicDatabases?: ReadonlySet<string>;
 }
--- a/packages/session/src/model/upstreamDialer.ts
+++ b/packages/session/src/model/upstreamDialer.ts
@@ -6,6 +6,10 @@
 
 /** Opens connections to upstreams. */
 export interface UpstreamDialer {
-    /** Fails with the error that the upstream returned, with `TimedOut` if it did not respond, or with `Other` if the connection was refused. */
-    dial(upstream: UpstreamEntry, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>>;
+    /**
+     * Opens a connection for statements of one tenant, or of callers that are not authenticated.
+     *
+     * Fails with the error that the upstream returned, with `TimedOut` if it did not respond, or with `Other` if the connection was refused.
+     */
+    dial(upstream: UpstreamEntry, tenant: string | undefined, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>>;
 }
--- a/packages/session/src/testing/fakeDialer.ts
+++ b/packages/session/src/testing/fakeDialer.ts
@@ -21,7 +21,7 @@
         return new FakeDialer(group, clock);
     }
 
-    public *dial(upstream: UpstreamEntry, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
+    public *dial(upstream: UpstreamEntry, _tenant: string | undefined, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
         this.dialCount++;
         const server = this.group.find(upstream.id);
         if (server.refusesDials) return Err(ErrorKind.Other);
--- a/packages/session/src/upstream/slotRequest.ts
+++ b/packages/session/src/upstream/slotRequest.ts
@@ -5,6 +5,8 @@
 export interface SlotRequest {
     readonly session: SessionValues;
     readonly workClass: WorkClass;
+    /** Tenant whose connection is needed; undefined if the caller is not authenticated. */
+    readonly tenant?: string;
     /** Local time in milliseconds at which the statement was received. */
     readonly receivedAt: number;
     /** Local time in milliseconds by which the response is due. A statement that would get its slot too late for it is refused at once. */
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -224,7 +224,7 @@
     private *dial(): Operation<Result<UpstreamConnection, ErrorKind>> {
         this.pendingDials++;
         try {
-            const link = yield* this.dialer.dial(this.upstream, dialTimeoutMs);
+            const link = yield* this.dialer.dial(this.upstream, undefined, dialTimeoutMs);
             if (link.err) {
                 this.recordDialFailure(link.val);
                 return link;
