Read the grace period in seconds, with its fraction

Callers of a VM whose platform states a grace period such as 6.5 s were cut off about 20 ms after its first SIGTERM: the template appended three zeros to the number, so 6.5 became 6.5000 ms. The settings now state the period in seconds, as the platform does.

--- a/packages/bench/src/soak/soakVm.ts
+++ b/packages/bench/src/soak/soakVm.ts
@@ -6,7 +6,7 @@
 
 const host = "127.0.0.1";
 const program = join(__dirname, "..", "..", "..", "..", "platform", "dist", "main.js");
-const graceMs = 2_000;
+const graceSeconds = 2;
 
 /** A VM of the soak test: a process of the production program that is restarted whenever it exits. */
 export class SoakVm {
@@ -34,7 +34,7 @@
                 readiness: `${host}:${readinessPort}`,
                 store: { address: storeAddress },
                 promotion: { address: storeAddress },
-                shutdown: { graceMs },
+                shutdown: { graceSeconds },
                 metrics: { host, port: metricsPort },
             }),
         );
