Probe the upstreams of an isolated VM, also while the primary is not suspected

Callers of a VM were refused for 15 s although its upstreams were well (soak seed 2845): two upstreams had failed it for a moment, so it counted as isolated; an isolated VM sends no statements, and the group was checked only on suspicion of the primary, so nothing asked the two again. An isolated VM now probes them every 400 ms.

Evidence: the new test fails without the change (the VM is isolated for good).

--- a/packages/session/src/failover/groupWatcher.test.ts
+++ b/packages/session/src/failover/groupWatcher.test.ts
@@ -1,6 +1,7 @@
 import { Task } from "@vanillarouter/base/task";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { CommandKind } from "../model/commandKind";
 import { TestBed } from "../testing/testBed";
 
 const failoverTargetMs = 2_000;
@@ -75,3 +76,19 @@
     bed.groups.suspectAll("test");
     assert.equal(other.primaryTracker.isSuspected, true);
 });
+
+// Guards against a VM that refuses everything for good: two replicas failed it for a moment, and the primary is not suspected.
+test("an isolated VM notices that its upstreams respond again although the primary is not suspected", () => {
+    const bed = TestBed.create();
+    startWatcher(bed);
+    for (const id of ["u2", "u3"]) {
+        bed.fakeGroup.find(id).isUnresponsive = true;
+        bed.run(bed.pools.find(id)!.runControl(CommandKind.Status, 300));
+    }
+    advance(bed, 1_000);
+    assert.equal(bed.group.primaryTracker.isSuspected, false);
+    assert.equal(bed.group.isIsolated, true);
+    for (const id of ["u2", "u3"]) bed.fakeGroup.find(id).isUnresponsive = false;
+    advance(bed, 2_000);
+    assert.equal(bed.group.isIsolated, false);
+});
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -14,6 +14,7 @@
 
 const statusTimeoutMs = 300;
 const checkIntervalMs = 60;
+const isolationProbeIntervalMs = 400;
 /** A primary must have been missing or leaving for this time before it is replaced, so that one lost response changes nothing. */
 const minOutageMs = 400;
 /** Additional delay for each gateway ahead of this VM in the promotion order, which differs by group. */
@@ -56,7 +57,7 @@
             this.checkDiscoveryEntries();
             if (!this.group.primaryTracker.isSuspected) {
                 this.pendingPromotion = undefined;
-                yield* race([this.group.primaryTracker.suspected.wait(), this.cluster.topologyChanged.wait()]);
+                yield* this.waitForSuspicion();
                 continue;
             }
             yield* this.checkGroup();
@@ -64,6 +65,22 @@
         }
     }
 
+    /** Waits until the primary is suspected or the topology changes. Meanwhile it probes unreachable upstreams if this VM is isolated. */
+    private *waitForSuspicion(): Operation<void> {
+        yield* race<void>([
+            this.group.primaryTracker.suspected.wait(),
+            this.cluster.topologyChanged.wait(),
+            sleep(this.clock, isolationProbeIntervalMs),
+        ]);
+        if (this.group.isIsolated) yield* this.probeUnreachable();
+    }
+
+    /** An isolated VM sends no statements, so only a probe can show that its upstreams are reachable again. */
+    private *probeUnreachable(): Operation<void> {
+        const pools = this.group.pools.list(this.group.service).filter(pool => !pool.isReachable);
+        yield* collectReports(pools, CommandKind.Status, statusTimeoutMs);
+    }
+
     /** Suspects the primary if the entries in service discovery contradict it. */
     private checkDiscoveryEntries(): void {
         const reason = this.findContradiction();
