Ignore listed addresses where nothing listens for isolation and fencing

Callers of every VM were refused all writes while discovery listed more addresses without a listener than live upstreams: each VM counted itself as isolated, although the primary answered. One such entry also blocked every promotion. A pool that has never responded and whose connections are refused no longer counts for isolation, and not for fencing either once it has been refused for 6 s: the platform removes the entry of an upstream that has ended sooner than that. A silent address still counts, because a partition looks the same.

Evidence: two of the three new tests fail without the change; the third (a silent replica still blocks the promotion) guards the bound of the change and passes on both.

--- a/packages/session/src/cluster/serviceGroup.ts
+++ b/packages/session/src/cluster/serviceGroup.ts
@@ -38,9 +38,14 @@
         return new ServiceGroup(service, clock, pools, suspension, log);
     }
 
-    /** Whether this VM reaches too few upstreams to verify the primary or to replace it. */
+    /**
+     * Whether this VM reaches too few upstreams to verify the primary or to replace it. Entries at whose address nothing has ever
+     * listened do not count, unless there are no others.
+     */
     public get isIsolated(): boolean {
-        const pools = this.pools.list(this.service);
+        const listed = this.pools.list(this.service);
+        const listening = listed.filter(pool => !pool.listener.isRefused);
+        const pools = listening.length === 0 ? listed : listening;
         return pools.length > 1 && pools.filter(pool => pool.isReachable).length <= pools.length / 2;
     }
 
--- a/packages/session/src/failover/groupWatcher.test.ts
+++ b/packages/session/src/failover/groupWatcher.test.ts
@@ -92,3 +92,44 @@
     advance(bed, 2_000);
     assert.equal(bed.group.isIsolated, false);
 });
+
+function listAddressesWithoutListeners(bed: TestBed, ids: readonly string[]): void {
+    for (const id of ids) {
+        bed.fakeGroup.addServer(id).refusesDials = true;
+        bed.registerUpstream(id, "zone-1");
+    }
+}
+
+// Guards against a VM that takes itself for isolated, and refuses all writes, because more dead addresses are listed than upstreams.
+test("listed addresses without a listener do not make a VM isolated", () => {
+    const bed = TestBed.create();
+    listAddressesWithoutListeners(bed, ["x1", "x2", "x3", "x4"]);
+    startWatcher(bed);
+    advance(bed, 1_000);
+    assert.equal(bed.group.isIsolated, false);
+});
+
+// Guards against a failover that waits for a fence at an address where nothing listens.
+test("a primary is replaced although an address without a listener is listed", () => {
+    const bed = TestBed.create();
+    listAddressesWithoutListeners(bed, ["x1"]);
+    startWatcher(bed);
+    advance(bed, 8_000);
+    bed.fakeGroup.find("u1").isUnresponsive = true;
+    bed.fakeGroup.find("u1").isReplicating = false;
+    bed.group.primaryTracker.suspect("test");
+    advance(bed, failoverTargetMs);
+    assert.equal(bed.fakeGroup.promotions.length, 1);
+});
+
+// Guards against two primaries: a replica that only this VM cannot reach may go on confirming commits of the old one.
+test("a primary is not replaced while a replica that may be alive cannot be fenced", () => {
+    const bed = TestBed.create();
+    bed.fakeGroup.find("u3").isUnresponsive = true;
+    startWatcher(bed);
+    advance(bed, 8_000);
+    bed.fakeGroup.find("u1").isUnresponsive = true;
+    bed.group.primaryTracker.suspect("test");
+    advance(bed, 8_000);
+    assert.deepEqual(bed.fakeGroup.promotions, []);
+});
--- a/packages/session/src/failover/groupWatcher.ts
+++ b/packages/session/src/failover/groupWatcher.ts
@@ -108,7 +108,9 @@
         if (pools.length === 0) return;
         const generation = this.suspension.check();
         const checkedAt = this.clock.now();
-        const reports = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs, undefined, report => this.recordNewPrimary(report));
+        const collected = yield* collectReports(pools, CommandKind.Status, statusTimeoutMs, undefined, report => this.recordNewPrimary(report));
+        // Nothing has to be fenced where nothing listens.
+        const reports = collected.filter(report => !report.pool.listener.isStaleEntry);
         if (this.suspension.check() !== generation) return;
         const unresponsive = reports.find(report => report.status === undefined);
         if (unresponsive !== undefined) this.onNoResponse(`upstream ${unresponsive.pool.upstream.id} does not respond`);
--- a/packages/session/src/model/errorKind.ts
+++ b/packages/session/src/model/errorKind.ts
@@ -16,5 +16,7 @@
     NoDatabase = "no such database",
     Malformed = "malformed",
     TooBig = "too big",
+    /** Nothing listens at the address of an upstream. */
+    Refused = "refused",
     Other = "other",
 }
--- a/packages/session/src/testing/fakeDialer.ts
+++ b/packages/session/src/testing/fakeDialer.ts
@@ -24,7 +24,7 @@
     public *dial(upstream: UpstreamEntry, _tenant: string | undefined, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
         this.dialCount++;
         const server = this.group.find(upstream.id);
-        if (server.refusesDials) return Err(ErrorKind.Other);
+        if (server.refusesDials) return Err(ErrorKind.Refused);
         yield* sleep(this.clock, server.isUnresponsive ? timeoutMs : dialMs);
         return server.isUnresponsive ? Err(ErrorKind.TimedOut) : Ok(FakeLink.create(server, this.clock));
     }
--- a/packages/session/src/testing/fakeGroupServers.ts
+++ b/packages/session/src/testing/fakeGroupServers.ts
@@ -3,7 +3,7 @@
 
 /** A fake database group of three upstreams whose first primary is `u1`. Replication is immediate unless it is disabled. */
 export class FakeGroupServers {
-    public readonly servers: readonly FakeUpstreamServer[];
+    public readonly servers: FakeUpstreamServer[];
     /** Ids of the upstreams that were promoted, in order. */
     public readonly promotions: string[] = [];
     /** Ids of the log entries that were replicated to at least one other upstream. */
@@ -18,6 +18,14 @@
         return new FakeGroupServers();
     }
 
+    /** Adds an upstream that is neither primary nor replica of the group. */
+    public addServer(id: string): FakeUpstreamServer {
+        const server = FakeUpstreamServer.create(id, () => undefined);
+        server.isReplicating = false;
+        this.servers.push(server);
+        return server;
+    }
+
     public find(id: string): FakeUpstreamServer {
         return this.servers.find(server => server.id === id)!;
     }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -11,6 +11,7 @@
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { UpstreamEntry } from "../model/upstreamEntry";
 import { UpstreamStatus } from "../model/upstreamStatus";
+import { ListenerCheck } from "./listenerCheck";
 import { PoolLimits } from "./poolLimits";
 import { ResponseTimeAverage } from "./responseTimeAverage";
 import { SlotRequest } from "./slotRequest";
@@ -37,6 +38,7 @@
     public lastResponseAt = Number.NEGATIVE_INFINITY;
     public readonly responseTimes: ResponseTimeAverage;
     public readonly slots: UpstreamSlots;
+    public readonly listener: ListenerCheck;
     private readonly idle: UpstreamConnection[] = [];
     private readonly open = new Set<UpstreamConnection>();
     private readonly connectionQueue = WaitQueue.create<void>();
@@ -52,6 +54,7 @@
     ) {
         this.slots = UpstreamSlots.create(clock, () => this.upstream.slots, () => limits.getGatewayCount());
         this.responseTimes = ResponseTimeAverage.create(clock);
+        this.listener = ListenerCheck.create(clock);
     }
 
     public static create(upstream: UpstreamEntry, clock: Clock, dialer: UpstreamDialer, limits: PoolLimits): UpstreamPool {
@@ -144,6 +147,7 @@
     public recordResponse(applied: LogPosition | undefined): void {
         this.consecutiveFailures = 0;
         this.lastResponseAt = this.clock.now();
+        this.listener.recordResponse();
         if (applied !== undefined && (this.applied === undefined || compareLogPositions(applied, this.applied) !== 0)) this.applied = applied;
     }
 
@@ -227,7 +231,7 @@
             const link = yield* this.dialer.dial(this.upstream, undefined, dialTimeoutMs);
             if (link.err) {
                 this.recordDialFailure(link.val);
-                return link;
+                return link.val === ErrorKind.Refused ? Err(ErrorKind.Other) : link;
             }
             const connection = UpstreamConnection.create(link.val);
             if (this.isClosed) {
@@ -247,6 +251,8 @@
     private recordDialFailure(error: ErrorKind): void {
         const pauseMs = error === ErrorKind.TooManyConnections ? connectionLimitPauseMs : failedDialPauseMs;
         this.dialBlockedUntil = this.clock.now() + pauseMs;
+        if (error === ErrorKind.Refused) this.listener.recordRefusal();
+        else this.listener.recordSilence();
         if (error !== ErrorKind.TooManyConnections && error !== ErrorKind.Busy) this.recordFailure();
     }
 
