--- a/packages/session/src/model/routingConfiguration.ts
+++ b/packages/session/src/model/routingConfiguration.ts
@@ -13,4 +13,6 @@
     readonly tenants?: TenantDirectory;
     /** Databases that callers may use without a key. */
     readonly publicDatabases?: ReadonlySet<string>;
+    /** Number of tenants that were left out because their entries are unusable, for the log. */
+    readonly unusableTenants?: number;
 }
--- a/packages/session/src/model/tenantDirectory.ts
+++ b/packages/session/src/model/tenantDirectory.ts
@@ -1,15 +1,7 @@
-import { createHash } from "node:crypto";
+import { computeKeyDigest } from "./computeKeyDigest";
 import { Tenant } from "./tenant";
 
-/**
- * Keys are looked up by their digests, so the time of a lookup tells nothing about similar keys, and no VM keeps a key longer than
- * its configuration's text.
- */
-function computeDigest(key: string): string {
-    return createHash("sha256").update(key).digest("base64");
-}
-
-/** The tenants of one configuration, by name and by key. */
+/** The tenants of one configuration, by name and by key. Keys are kept only as digests. */
 export class TenantDirectory {
     private readonly tenantsByName = new Map<string, Tenant>();
     private readonly tenantsByDigest = new Map<string, Tenant>();
@@ -21,14 +13,24 @@
         const directory = new TenantDirectory();
         for (const { tenant, keys } of entries) {
             directory.tenantsByName.set(tenant.name, tenant);
-            for (const key of keys) directory.tenantsByDigest.set(computeDigest(key), tenant);
+            for (const key of keys) directory.tenantsByDigest.set(computeKeyDigest(key), tenant);
         }
         return directory;
     }
 
+    /** Number of tenants. */
+    public get size(): number {
+        return this.tenantsByName.size;
+    }
+
     /** Returns the tenant that holds a key. */
     public findByKey(key: string): Tenant | undefined {
-        return this.tenantsByDigest.get(computeDigest(key));
+        return this.findByDigest(computeKeyDigest(key));
+    }
+
+    /** Returns the tenant that holds the key with this digest. */
+    public findByDigest(digest: string): Tenant | undefined {
+        return this.tenantsByDigest.get(digest);
     }
 
     public find(name: string): Tenant | undefined {
