Check the caller's key at login and at each operation

Nothing set the tenant of an operation, and every login was accepted. CallerIdentity decides by the configuration in force whether a caller may use its database, and for which tenant; the session asks it at login, at each statement and while it waits. An idle session ends when a configuration lacks its key; an open transaction is rolled back between statements, and stays so if the key is added again, because its second half would otherwise commit alone. Each operation of a tenant is admitted once, and again if its key gets another tenant meanwhile. New codes 1820 and 1821; the session forgets the key and keeps its digest.

--- a/packages/session/src/diagnostics.ts
+++ b/packages/session/src/diagnostics.ts
@@ -16,5 +16,7 @@
     notConfigured: createDiagnostic(1811, "the VM has no configuration yet", "Reconnect; another VM may be configured."),
     noGateway: createDiagnostic(1812, "no VM with connections to {0} could be reached", "Reconnect; another VM may be able to reach one."),
     addressNotBound: createDiagnostic(1813, "cannot listen on {0}: {1}", "Check the address in the settings and that no other process uses the port."),
+    keyNotAccepted: createDiagnostic(1820, "the key gives no access to this database", "Log in with a current key of the tenant; nothing ran."),
+    quotaExceeded: createDiagnostic(1821, "the tenant is above its limit; retry after {0} ms", "Retry after the stated time, or raise the tenant's limit."),
     upstreamFailed: createDiagnostic(1810, "the upstream answered: {0}", "See the log of the upstream."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -1,3 +1,4 @@
+import { DiagnosticMessage } from "@vanillarouter/base/diagnosticMessage";
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
 import { sleep } from "@vanillarouter/base/sleep";
@@ -10,15 +11,20 @@
 import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { WorkClass } from "../model/workClass";
+import { admitOperation } from "./admitOperation";
+import { CallerIdentity } from "./callerIdentity";
 import { CallerRequest } from "./callerRequest";
 import { createFailedOutcome } from "./createFailedOutcome";
 import { FloorTable } from "./floorTable";
 import { SessionContext } from "./sessionContext";
+import { SessionLog } from "./sessionLog";
 import { SessionValues } from "./sessionValues";
 import { StatementOutcome } from "./statementOutcome";
 
 /** Time that a login waits for the first configuration. Callers give up on their login after two seconds. */
 const configurationTimeoutMs = 1_500;
+/** Time for which a session with a withdrawn key stays open, so that statements that have already arrived are answered. */
+const finalReadMs = 50;
 /** Statements after which an operation is complete, unless a transaction is open. */
 const operationEndingKinds: ReadonlySet<StatementKind> = new Set([
     StatementKind.Read,
@@ -33,12 +39,20 @@
     private transactionState = TransactionState.Idle;
     private readonly sessionValues = SessionValues.create();
     private readonly floors = FloorTable.create();
+    private readonly identity: CallerIdentity;
+    private readonly log: SessionLog;
     private transaction: CallerTransaction | undefined;
+    /** Tenant for which the latest transaction began. */
+    private transactionTenant: string | undefined;
     /** Local time in milliseconds at which the latest transaction began. */
     private transactionBegunAt = 0;
     private lastStatementEndedOperation = false;
 
-    private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {}
+    private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {
+        this.identity = CallerIdentity.create(context.cluster, channel.database, channel.credential);
+        channel.forgetCredential();
+        this.log = SessionLog.create(channel, context);
+    }
 
     public static create(channel: CallerChannel, context: SessionContext): CallerSession {
         return new CallerSession(channel, context);
@@ -46,18 +60,17 @@
 
     /** Runs until the caller disconnects or the VM shuts down. */
     public *run(): Operation<void> {
-        if (!(yield* this.waitForConfiguration())) {
-            this.channel.rejectLogin(ErrorKind.Busy, createFailedOutcome(ErrorKind.Busy, Diagnostics.notConfigured).text);
-            return;
-        }
-        if (this.findClass() === undefined) {
-            this.channel.rejectLogin(ErrorKind.NoDatabase, createFailedOutcome(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase).text);
-            return;
+        if (!(yield* this.waitForConfiguration())) return this.rejectLogin(ErrorKind.Busy, Diagnostics.notConfigured);
+        if (this.findClass() === undefined) return this.rejectLogin(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase);
+        if (!this.identity.isPermitted) {
+            this.log.recordRefusedLogin();
+            return this.rejectLogin(ErrorKind.NotAuthenticated, Diagnostics.keyNotAccepted);
         }
         this.channel.sendReady(TransactionState.Idle);
         try {
             for (;;) {
                 const statement = yield* this.waitForStatement();
+                if (!this.identity.isPermitted) return this.endWithoutKey(statement);
                 if (statement === undefined) return;
                 yield* this.respondToStatement(statement, this.context.clock.now());
                 if (this.isBetweenOperations && this.context.shutdown.closesSessionsBetweenOperations) return;
@@ -79,6 +92,17 @@
         return cluster.configuration !== undefined;
     }
 
+    private rejectLogin(error: ErrorKind, diagnostic: DiagnosticMessage): void {
+        this.channel.rejectLogin(error, createFailedOutcome(error, diagnostic).text);
+    }
+
+    /** Refuses the statement, if there is one, of a caller whose key was withdrawn. The session ends afterwards. */
+    private endWithoutKey(statement: CallerStatement | undefined): void {
+        this.endTransaction();
+        this.log.recordKeyWithdrawal(statement);
+        if (statement !== undefined) this.sendOutcome(createFailedOutcome(ErrorKind.NotAuthenticated, Diagnostics.keyNotAccepted));
+    }
+
     /** Whether the session can be closed without interrupting the caller. A caller that has just set a value or prepared a statement is about to use it. */
     private get isBetweenOperations(): boolean {
         return this.transactionState === TransactionState.Idle && this.lastStatementEndedOperation;
@@ -94,9 +118,29 @@
         if (this.isBetweenOperations) events.push(this.context.shutdown.waitForIdleClose());
         else if (this.transactionState === TransactionState.Idle) events.push(this.context.shutdown.waitForUnfinishedClose());
         else events.push(this.waitForTransactionAbort());
+        events.push(this.transactionState === TransactionState.Idle ? this.waitForKeyWithdrawal() : this.rollBackOnKeyChange());
         return yield* race(events);
     }
 
+    private *waitForKeyWithdrawal(): Operation<undefined> {
+        yield* this.identity.waitForWithdrawal();
+        yield* sleep(this.context.clock, finalReadMs);
+        return undefined;
+    }
+
+    /** Rolls back the open transaction once its tenant no longer holds the key. The caller learns it from the response to its next statement. */
+    private *rollBackOnKeyChange(): Operation<never> {
+        yield* this.identity.waitForEnd(this.transactionTenant);
+        this.transaction?.rollBack();
+        this.transaction = undefined;
+        for (;;) yield* this.context.cluster.configurationChanged.wait();
+    }
+
+    /** Whether the transaction that the caller believes to be open was rolled back, or has to be, because of its key. A key that is added again revives none. */
+    private get hasLostTransaction(): boolean {
+        return this.transactionState === TransactionState.Open && (this.transaction === undefined || !this.identity.mayContinue(this.transactionTenant));
+    }
+
     /** Waits until the open transaction must be aborted: the caller left it idle for too long, or the VM's shutdown cannot wait for it. */
     private *waitForTransactionAbort(): Operation<undefined> {
         const idleMs = this.context.cluster.configuration?.transactionIdleMs;
@@ -112,6 +156,11 @@
             this.sendOutcome(createFailedOutcome(ErrorKind.Malformed, Diagnostics.transactionFailed));
             return;
         }
+        if (this.hasLostTransaction && statement.kind !== StatementKind.Rollback) {
+            this.endTransaction();
+            this.sendOutcome(createFailedOutcome(ErrorKind.Aborted, Diagnostics.transactionLost, "its tenant no longer holds the key"));
+            return;
+        }
         switch (statement.kind) {
             case StatementKind.SetValue:
                 this.sessionValues.values.set(statement.name, statement.argument);
@@ -123,7 +172,7 @@
                 this.sessionValues.prepared.delete(statement.name);
                 return this.sendEmptySuccess();
             case StatementKind.Begin:
-                return this.begin(statement, receivedAt);
+                return yield* this.begin(statement, receivedAt);
             case StatementKind.Rollback:
                 this.endTransaction();
                 return this.sendEmptySuccess();
@@ -138,11 +187,14 @@
         this.channel.sendSuccess([], undefined, this.transactionState);
     }
 
-    private begin(statement: CallerStatement, receivedAt: number): void {
+    private *begin(statement: CallerStatement, receivedAt: number): Operation<void> {
         if (this.transactionState !== TransactionState.Idle) return this.sendOutcome(createFailedOutcome(ErrorKind.Malformed, Diagnostics.malformedStatement));
         const workClass = this.findClass();
         if (workClass === undefined) return this.sendOutcome(createFailedOutcome(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
+        const refusal = yield* admitOperation(this.identity, this.context.admission);
+        if (refusal !== undefined) return this.sendRecorded(statement, workClass.database, receivedAt, refusal);
         const req = this.createRequest(statement, workClass, receivedAt, statement.readOnly, true);
+        this.transactionTenant = req.tenant;
         this.transaction = this.context.executors.select(workClass.service).openTransaction(req);
         this.transactionState = TransactionState.Open;
         this.transactionBegunAt = receivedAt;
@@ -150,7 +202,8 @@
     }
 
     private createRequest(statement: CallerStatement, workClass: WorkClass, receivedAt: number, readOnly: boolean, mayRead: boolean): CallerRequest {
-        return { id: statement.id, workClass, session: this.sessionValues, floors: this.floors, receivedAt, readOnly, mayRead };
+        const { tenant } = this.identity;
+        return { id: statement.id, workClass, tenant, session: this.sessionValues, floors: this.floors, receivedAt, readOnly, mayRead };
     }
 
     private *runDataStatement(statement: CallerStatement, receivedAt: number): Operation<void> {
@@ -164,19 +217,19 @@
         const workClass = this.findClass();
         if (workClass === undefined) return this.sendOutcome(createFailedOutcome(ErrorKind.NoDatabase, Diagnostics.noSuchDatabase));
         if (statement.kind === StatementKind.Commit) return this.sendOutcome(createFailedOutcome(ErrorKind.Malformed, Diagnostics.malformedStatement));
+        const refusal = yield* admitOperation(this.identity, this.context.admission);
+        if (refusal !== undefined) return this.sendRecorded(statement, workClass.database, receivedAt, refusal);
         const readOnly = this.sessionValues.isReadOnly(statement);
         const req = this.createRequest(statement, workClass, receivedAt, readOnly, readOnly);
         const outcome = yield* this.context.executors.select(workClass.service).runStatement(req, statement);
-        this.recordOutcome(statement, workClass.database, receivedAt, outcome);
-        this.sendOutcome(outcome);
+        this.sendRecorded(statement, workClass.database, receivedAt, outcome);
     }
 
     private *runInTransaction(transaction: CallerTransaction, statement: CallerStatement, receivedAt: number): Operation<void> {
         const isCommit = statement.kind === StatementKind.Commit;
         const outcome = isCommit ? yield* transaction.commit(statement) : yield* transaction.runStatement(statement);
         if (isCommit || outcome.error !== undefined) this.endTransaction();
-        this.recordOutcome(statement, this.channel.database, receivedAt, outcome);
-        this.sendOutcome(outcome);
+        this.sendRecorded(statement, this.channel.database, receivedAt, outcome);
     }
 
     private endTransaction(): void {
@@ -190,18 +243,8 @@
         else this.channel.sendError(outcome.error, outcome.text, this.transactionState);
     }
 
-    private recordOutcome(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome): void {
-        const latencyMs = this.context.clock.now() - receivedAt;
-        this.context.metrics.recordStatement(workClass, outcome.error, latencyMs);
-        if (outcome.error === undefined) return;
-        this.context.decisions.logFailed("statement.failed", {
-            req: statement.id,
-            class: workClass,
-            service: this.findClass()?.service,
-            kind: statement.kind,
-            error: outcome.error,
-            ms: Math.round(latencyMs),
-            text: outcome.text,
-        });
+    private sendRecorded(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome): void {
+        this.log.recordOutcome(statement, workClass, receivedAt, outcome);
+        this.sendOutcome(outcome);
     }
 }
--- a/packages/session/src/entry/entryMetrics.ts
+++ b/packages/session/src/entry/entryMetrics.ts
@@ -18,4 +18,14 @@
         this.counters.add("vanillarouter_statements_total", `class="${workClass}",outcome="${error ?? "answered"}"`);
         this.statementLatencies.record(`class="${workClass}"`, latencyMs);
     }
+
+    /** Counts a login that was refused because of its key. */
+    public recordRefusedLogin(workClass: string): void {
+        this.counters.add("vanillarouter_logins_refused_total", `class="${workClass}"`);
+    }
+
+    /** Counts a session that ended because its key was withdrawn. */
+    public recordKeyWithdrawal(workClass: string): void {
+        this.counters.add("vanillarouter_key_withdrawals_total", `class="${workClass}"`);
+    }
 }
--- a/packages/session/src/model/callerChannel.ts
+++ b/packages/session/src/model/callerChannel.ts
@@ -7,8 +7,10 @@
 export interface CallerChannel {
     readonly database: string;
     readonly callerAddress: string;
-    /** What the caller sent at login to identify itself; undefined if it sent nothing. Must not be logged. */
+    /** What the caller sent at login to identify itself; undefined if it sent nothing or after `forgetCredential`. Must not be logged. */
     readonly credential: string | undefined;
+    /** Drops the credential. Called once its digest is known. */
+    forgetCredential(): void;
     /** Waits for the next statement. Returns undefined when the caller has disconnected. */
     receive(): Operation<CallerStatement | undefined>;
     /** Accepts the login or ends a response, reporting the transaction state of the session. */
--- a/packages/session/src/model/errorKind.ts
+++ b/packages/session/src/model/errorKind.ts
@@ -15,6 +15,8 @@
     NoStatement = "no such statement",
     NoDatabase = "no such database",
     Malformed = "malformed",
+    /** The caller's key gives no access. Nothing ran. */
+    NotAuthenticated = "not authenticated",
     TooBig = "too big",
     Other = "other",
 }
