Play tenants and keys in the line stand-ins and test them end to end

LinePlatform writes tenants and public routes, LineCaller logs in with a key, and LineUpstream gives each connection to the user named at its login and refuses a user that is no tenant.

--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -32,6 +32,19 @@
     assert.deepEqual(bed.find("g1").executor.lastRequest!.floors.find(service), { term: 1, position: 1 });
 });
 
+// Guards against a gateway that runs an operation on a connection of another tenant because it does not know the operation's own.
+test("a gateway gets the tenant of each statement and transaction, and none for callers that are not authenticated", async context => {
+    const bed = await startBed(context, 1);
+    for (const tenant of ["acme", undefined]) {
+        await bed.run(bed.executor.runStatement({ ...bed.createRequest("t1", true), tenant }, bed.createStatement("t1", StatementKind.Read)));
+        assert.equal(bed.find("g1").executor.lastRequest!.tenant, tenant);
+        const transaction = bed.executor.openTransaction({ ...bed.createRequest("t2", false), tenant });
+        await bed.run(transaction.runStatement(bed.createStatement("t3", StatementKind.Write)));
+        assert.equal(bed.find("g1").executor.lastRequest!.tenant, tenant);
+        await bed.run(transaction.commit(bed.createStatement("t4", StatementKind.Commit)));
+    }
+});
+
 // Guards against callers that hang on a frozen gateway, and against a write that is sent twice.
 test("with a silent gateway a read soon runs on another one, and a write runs nowhere else and is unknown at its timeout", async context => {
     const bed = await startBed(context, 2);
--- a/packages/session/src/testing/fakeExecution.ts
+++ b/packages/session/src/testing/fakeExecution.ts
@@ -3,6 +3,8 @@
 /** A statement that a fake upstream ran, with what its connection held at the time. */
 export interface FakeExecution {
     readonly upstreamId: string;
+    /** Name to which the connection belongs. */
+    readonly user: string | undefined;
     readonly id: string;
     /** The statement as the upstream received it. */
     readonly text: string;
--- a/packages/session/src/testing/fakeUpstreamServer.ts
+++ b/packages/session/src/testing/fakeUpstreamServer.ts
@@ -18,6 +18,8 @@
 /** State of one connection at a fake upstream. */
 interface ServerSession {
     state: TransactionState;
+    /** Name given at login, to which the connection belongs. */
+    user: string | undefined;
     pendingWrites: ItemWrite[];
     /** Number of transactions that have begun on the connection. */
     transactionCount: number;
@@ -66,7 +68,7 @@
 
     public createSession(): ServerSession {
         const connection = ++this.connectionCount;
-        return { state: TransactionState.Idle, pendingWrites: [], transactionCount: 0, connection, values: new Map(), prepared: new Map() };
+        return { state: TransactionState.Idle, user: undefined, pendingWrites: [], transactionCount: 0, connection, values: new Map(), prepared: new Map() };
     }
 
     /** Runs one command of a connection. */
@@ -88,12 +90,12 @@
     }
 
     private execute(session: ServerSession, id: string, statement: FakeStatement): UpstreamResponse {
-        const { state, connection, transactionCount, values } = session;
+        const { state, user, connection, transactionCount, values } = session;
         this.executedIds.push(id);
         this.runStatement(session, id, statement);
         const rows = statement.isRead ? this.findValue(statement.item) : [];
         const transaction = state === TransactionState.Open ? `${this.id}/${connection}/${transactionCount}` : undefined;
-        this.onExecuted({ upstreamId: this.id, id, text: statement.text, prepared: statement.prepared, values: new Map(values), transaction, rows });
+        this.onExecuted({ upstreamId: this.id, user, id, text: statement.text, prepared: statement.prepared, values: new Map(values), transaction, rows });
         return this.createResponse(session, undefined, `${this.id}/${id}`, rows);
     }
 
--- a/packages/standins/src/line/lineCaller.ts
+++ b/packages/standins/src/line/lineCaller.ts
@@ -5,6 +5,7 @@
     private received = "";
     private hasEnded = false;
     private notify: () => void = () => undefined;
+    private login = "";
 
     private constructor(private readonly socket: Socket) {
         socket.on("data", data => {
@@ -19,14 +20,19 @@
         }
     }
 
-    /** Connects and logs in. */
-    public static async create(address: string, database: string): Promise<LineCaller> {
+    /** Connects and logs in with a key. */
+    public static async create(address: string, database: string, key = "tester"): Promise<LineCaller> {
         const [host, port] = address.split(":") as [string, string];
         const caller = new LineCaller(connect({ host, port: Number(port) }));
-        await caller.exchange(`CONNECT ${database} tester`);
+        caller.login = await caller.exchange(`CONNECT ${database} ${key}`);
         return caller;
     }
 
+    /** Response to the login. */
+    public get loginResponse(): string {
+        return this.login;
+    }
+
     public get isClosed(): boolean {
         return this.hasEnded;
     }
--- a/packages/standins/src/line/linePlatform.ts
+++ b/packages/standins/src/line/linePlatform.ts
@@ -12,6 +12,10 @@
 /** Stand-in for the whole platform: a store with a configuration, and a database group of three upstreams that is listed as the service `ledger`. */
 export class LinePlatform {
     public readonly group = FakeGroupServers.create();
+    /** Tenants and their keys in the next configuration; undefined if callers are not authenticated. */
+    public keysByTenant: Readonly<Record<string, readonly string[]>> | undefined;
+    /** Databases that the next configuration makes public. */
+    public publicDatabases: readonly string[] = [];
     private reportCount = 0;
     private rewriteConfiguration = (): void => {};
 
@@ -29,7 +33,7 @@
         const store = await LineStore.create(id => platform.promote(id));
         const platform = new LinePlatform(store, upstreams, maxConnections, address => listedAddresses.get(address)!);
         for (const server of platform.group.servers) {
-            const upstream = await LineUpstream.create(server, "ledger");
+            const upstream = await LineUpstream.create(server, "ledger", user => platform.mayLogIn(user));
             upstreams.push(upstream);
             listedAddresses.set(upstream.address, await openProxy(upstream.address));
         }
@@ -41,11 +45,24 @@
     /** Writes a version of the configuration, with a route to the primary for each additional database. */
     public putConfiguration(version: number, ...databases: readonly string[]): void {
         this.rewriteConfiguration = () => this.putConfiguration(version, ...databases);
+        const limits = { rate_per_s: 1_000, burst: 1_000, priority: 0 };
+        const tenants = this.keysByTenant && Object.entries(this.keysByTenant).map(([name, keys]) => ({ name, api_keys: keys, ...limits }));
         const addedRoutes = databases.map(host => ({ ...routes[0], name: host, host }));
-        const allRoutes = [...routes, ...addedRoutes].map(route => ({ ...route, service: "ledger", timeout_ms: 1_000 }));
+        const allRoutes = [...routes, ...addedRoutes].map(route => ({
+            ...route,
+            service: "ledger",
+            timeout_ms: 1_000,
+            public: this.publicDatabases.includes(route.host),
+        }));
         this.store.put(
             "op/config",
-            JSON.stringify({ version, routes: allRoutes, services: [{ name: "ledger", max_conns: this.maxConnections }], limits: { tx_idle_ms: 3_000 } }),
+            JSON.stringify({
+                version,
+                routes: allRoutes,
+                services: [{ name: "ledger", max_conns: this.maxConnections }],
+                tenants,
+                limits: { tx_idle_ms: 3_000 },
+            }),
         );
     }
 
@@ -82,6 +99,11 @@
         for (const upstream of this.upstreams) upstream.close();
     }
 
+    /** Whether upstreams accept a login in this name: a tenant's, or the one for connections that belong to no tenant. */
+    private mayLogIn(user: string | undefined): boolean {
+        return this.keysByTenant === undefined || user === "vanillarouter" || (user !== undefined && Object.hasOwn(this.keysByTenant, user));
+    }
+
     private promote(id: string): void {
         this.group.promote(id);
         this.putUpstreams();
--- a/packages/standins/src/line/lineUpstream.ts
+++ b/packages/standins/src/line/lineUpstream.ts
@@ -64,12 +64,20 @@
     /** Whether the response to a command that has run is lost. */
     public losesResponse: (command: UpstreamCommand) => boolean = () => false;
 
-    private constructor(private readonly server: Server, public readonly upstream: FakeUpstreamServer, private readonly service: string) {}
-
-    /** Listens on a free port of the loopback address. */
-    public static async create(upstream: FakeUpstreamServer, service: string): Promise<LineUpstream> {
+    /** Called with each line that arrives. */
+    public onLine: (line: string) => void = () => undefined;
+
+    private constructor(
+        private readonly server: Server,
+        public readonly upstream: FakeUpstreamServer,
+        private readonly service: string,
+        private readonly mayLogIn: (user: string | undefined) => boolean,
+    ) {}
+
+    /** Listens on a free port of the loopback address. `mayLogIn` says whether connections may belong to a user. */
+    public static async create(upstream: FakeUpstreamServer, service: string, mayLogIn: (user: string | undefined) => boolean): Promise<LineUpstream> {
         const server = createServer();
-        const created = new LineUpstream(server, upstream, service);
+        const created = new LineUpstream(server, upstream, service, mayLogIn);
         server.on("connection", socket => Task.start(created.serveConnection(LineSocket.create(socket))));
         await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
         return created;
@@ -88,9 +96,10 @@
         for (;;) {
             const line = yield* socket.receive();
             if (line === undefined) return;
+            this.onLine(line);
             if (this.upstream.isUnresponsive) continue;
             const [verb, fields] = splitOnce(line);
-            if (verb === "CONNECT") this.logIn(socket, fields.split(" "));
+            if (verb === "CONNECT") this.logIn(socket, session, fields.split(" "));
             else this.runCommand(socket, session, parseCommand(...splitOnce(fields)));
         }
     }
@@ -104,10 +113,13 @@
         socket.send(`${rows.map(row => `ROW ${row}\r\n`).join("")}${resultLine}\r\nREADY ${stateCodes[response.state]} ${this.formatPosition()}\r\n`);
     }
 
-    private logIn(socket: LineSocket, [service, , id]: readonly string[]): void {
-        const isAccepted = service === this.service && (id === undefined || id === this.upstream.id);
-        socket.send(isAccepted ? `READY I ${this.formatPosition()}\r\n` : "ERR MISROUTED wrong name\r\n");
-        if (!isAccepted) socket.end();
+    /** Accepts a login, after which the connection belongs to the user, or refuses it. */
+    private logIn(socket: LineSocket, session: ReturnType<FakeUpstreamServer["createSession"]>, [service, user, id]: readonly string[]): void {
+        session.user = user;
+        const isService = service === this.service && (id === undefined || id === this.upstream.id);
+        if (isService && this.mayLogIn(user)) return socket.send(`READY I ${this.formatPosition()}\r\n`);
+        socket.send(isService ? "ERR NOAUTH unknown user\r\n" : "ERR MISROUTED wrong name\r\n");
+        socket.end();
     }
 
     private formatPosition(): string {
