Give the callers of the soak keys of several tenants and change two keys during a run

Nothing in the soak logged in with a key. A statement that ran with the withdrawn key more than 5 s after the change and the end of the faults is a violation, so is one that ran before its key was added, and a refusal of a valid key. NOAUTH counts as not run.

--- a/packages/bench/src/soak/runSoak.ts
+++ b/packages/bench/src/soak/runSoak.ts
@@ -6,6 +6,7 @@
 import { SoakCaller } from "./soakCaller";
 import { SoakFault } from "./soakFault";
 import { SoakFleet } from "./soakFleet";
+import { SoakKeys } from "./soakKeys";
 import { SoakReport } from "./soakReport";
 
 const startupMs = 1_500;
@@ -20,6 +21,12 @@
 /** Connection limit that is too low for all VMs to open upstream connections, so that statements are relayed. */
 const lowConnectionLimit = 6;
 const ampleConnectionsPerVm = 8;
+/** Version of the configuration with which the VMs start; the stand-in has version 1 before they do. */
+const firstVersion = 2;
+/** Part of the time of fault injection after which the keys change. */
+const keyRotationFraction = 0.5;
+/** Time for which callers go on after the change of keys must be in force everywhere. */
+const finalCheckMs = 500;
 /** Version of the configuration that is put in force after all faults; higher than any before. */
 const lastVersion = 1_000_000;
 
@@ -29,11 +36,15 @@
 
 /**
  * Runs callers while sequential and overlapping faults are injected, then checks recovery and the final logs. The store comes back from a
- * backup `restoreCount` times; the other faults of a seed do not depend on that.
+ * backup `restoreCount` times; the other faults of a seed do not depend on that. Callers have keys of `tenantCount` tenants.
  */
-export async function runSoak(seed: number, vmCount: number, durationMs: number, restoreCount = 0): Promise<SoakReport> {
+export async function runSoak(seed: number, vmCount: number, durationMs: number, restoreCount = 0, tenantCount = 3): Promise<SoakReport> {
     const random = SeededRandom.create(seed);
-    const fleet = await SoakFleet.create(vmCount, seed % 2 === 0 ? lowConnectionLimit : ampleConnectionsPerVm * vmCount);
+    const keys = SoakKeys.create(tenantCount);
+    const maxConnections = seed % 2 === 0 ? lowConnectionLimit : ampleConnectionsPerVm * vmCount;
+    const fleet = await SoakFleet.create(vmCount, maxConnections, platform => keys.configure(platform, firstVersion));
+    let version = firstVersion;
+    const nextVersion = (): number => ++version;
     const checker = ConsistencyChecker.create();
     const injected: string[] = [];
     try {
@@ -42,12 +53,17 @@
         const addresses = fleet.vms.map(vm => vm.callerAddress);
         const callers = Array.from(
             { length: callersPerVm * vmCount },
-            (_, index) => SoakCaller.create(`s${seed}c${index}`, addresses, checker, SeededRandom.create(seed * 1_000 + index)).run(() => isDone),
+            (_, index) =>
+                SoakCaller.create(`s${seed}c${index}`, addresses, checker, SeededRandom.create(seed * 1_000 + index), keys, keys.choose(index))
+                    .run(() => isDone),
         );
         const restores = restoreStore(fleet, SeededRandom.create(-seed), durationMs, restoreCount, injected);
-        await Promise.all([injectFaults(fleet, random, durationMs, injected), restores]);
+        const rotation = wait(durationMs * keyRotationFraction).then(() => keys.rotate(fleet.platform, nextVersion()));
+        await Promise.all([injectFaults(fleet, random, durationMs, injected, nextVersion), restores, rotation]);
+        const keysApplied = wait(keys.endFaults() + finalCheckMs);
         fleet.platform.putConfiguration(lastVersion, "last");
-        await checkRecovery(fleet, checker);
+        await checkRecovery(fleet, checker, keys.lastKey);
+        await keysApplied;
         isDone = true;
         await Promise.all(callers);
         checkFinalLogs(fleet, checker);
@@ -66,15 +82,23 @@
     };
 }
 
-async function injectFaults(fleet: SoakFleet, random: SeededRandom, durationMs: number, injected: string[]): Promise<void> {
+async function injectFaults(
+    fleet: SoakFleet,
+    random: SeededRandom,
+    durationMs: number,
+    injected: string[],
+    nextVersion: () => number,
+): Promise<void> {
     const startedAt = performance.now();
     const running = new Map<string, Promise<void>>();
-    let version = 1;
     // All upstream faults of a run affect the same upstream, because a group tolerates the failure of one.
     const upstreamIndex = random.next() < primaryFaultShare ? 0 : 1 + Math.floor(random.next() * (upstreamCount - 1));
     while (performance.now() - startedAt < durationMs) {
         await wait(random.next() * maxFaultIntervalMs);
-        if (random.next() < 0.2) fleet.platform.putConfiguration(++version, `added-${version}`);
+        if (random.next() < 0.2) {
+            const version = nextVersion();
+            fleet.platform.putConfiguration(version, `added-${version}`);
+        }
         const fault = drawFault(random, fleet, upstreamIndex);
         const faultMs = random.next() * maxFaultMs;
         if (running.has(fault.name)) continue;
@@ -107,13 +131,13 @@
 }
 
 /** Checks that every VM accepts a write under the last configuration within the recovery timeout. */
-async function checkRecovery(fleet: SoakFleet, checker: ConsistencyChecker): Promise<void> {
+async function checkRecovery(fleet: SoakFleet, checker: ConsistencyChecker, key: string): Promise<void> {
     const deadline = performance.now() + recoveryTimeoutMs;
     await Promise.all(fleet.vms.map(async vm => {
         for (let attempt = 0;; attempt++) {
             const id = `${vm.id.replace("-", "")}r${attempt}`;
             checker.recordSent(id);
-            const served = await Promise.race([writeOnce(vm.callerAddress, id), wait(1_000, false)]);
+            const served = await Promise.race([writeOnce(vm.callerAddress, key, id), wait(1_000, false)]);
             if (served) return;
             if (performance.now() > deadline) return checker.recordViolation(`${vm.id} does not serve ${recoveryTimeoutMs} ms after the last fault`);
             await wait(100);
@@ -121,8 +145,8 @@
     }));
 }
 
-async function writeOnce(address: string, id: string): Promise<boolean> {
-    const caller = await LineCaller.create(address, "last");
+async function writeOnce(address: string, key: string, id: string): Promise<boolean> {
+    const caller = await LineCaller.create(address, "last", key);
     const response = await caller.query(id, `WRITE recovery ${id}`);
     caller.close();
     return response.startsWith("DONE ");
--- a/packages/bench/src/soak/soakCaller.ts
+++ b/packages/bench/src/soak/soakCaller.ts
@@ -2,9 +2,10 @@
 import { LineCaller } from "@vanillarouter/standins/line/lineCaller";
 import { setTimeout as wait } from "node:timers/promises";
 import { ConsistencyChecker } from "./consistencyChecker";
+import { SoakKeys } from "./soakKeys";
 
 /** Errors that guarantee that no part of the write or transaction is committed. */
-const didNotRunPattern = /^ERR (BUSY|ABORTED|LAGGING|READONLY|MISROUTED|TOOMANY) /;
+const didNotRunPattern = /^ERR (BUSY|NOAUTH|ABORTED|LAGGING|READONLY|MISROUTED|TOOMANY) /;
 const databases = ["orders", "stock"];
 const maxPauseMs = 40;
 const loginTimeoutMs = 2_000;
@@ -29,12 +30,22 @@
         private readonly addresses: readonly string[],
         private readonly checker: ConsistencyChecker,
         private readonly random: SeededRandom,
+        private readonly keys: SoakKeys,
+        private readonly key: string,
     ) {
         this.item = `item-${name}`;
     }
 
-    public static create(name: string, addresses: readonly string[], checker: ConsistencyChecker, random: SeededRandom): SoakCaller {
-        return new SoakCaller(name, addresses, checker, random);
+    /** `key` is the one of `keys` that the caller uses. */
+    public static create(
+        name: string,
+        addresses: readonly string[],
+        checker: ConsistencyChecker,
+        random: SeededRandom,
+        keys: SoakKeys,
+        key: string,
+    ): SoakCaller {
+        return new SoakCaller(name, addresses, checker, random, keys, key);
     }
 
     /** Runs random operations until `isDone` returns true. */
@@ -56,7 +67,9 @@
         if (this.connection?.isClosed === false) return this.connection;
         const address = this.addresses[Math.floor(this.random.next() * this.addresses.length)]!;
         const database = databases[Math.floor(this.random.next() * databases.length)]!;
-        const created = await Promise.race([LineCaller.create(address, database), wait(loginTimeoutMs)]);
+        const sentAt = performance.now();
+        const created = await Promise.race([LineCaller.create(address, database, this.key), wait(loginTimeoutMs)]);
+        if (created instanceof LineCaller) this.checkKey(created.loginResponse, sentAt, undefined);
         this.connection = created instanceof LineCaller && !created.isClosed ? created : undefined;
         this.readsAllCommits = database === "orders";
         this.hasWritten = false;
@@ -109,13 +122,24 @@
      */
     private async send(connection: LineCaller, id: string, statement: string): Promise<string> {
         this.checker.recordSent(id);
+        const sentAt = performance.now();
         const response = await Promise.race([connection.query(id, statement), wait(responseTimeoutMs, "")]);
         const receipt = /^DONE (.*)\r$/m.exec(response)?.[1];
+        this.checkKey(response, sentAt, receipt);
         if (receipt !== undefined && response.includes("READY ")) this.checker.recordResponse(id, receipt);
         else connection.close();
         return receipt !== undefined && !response.includes("READY ") ? "" : response;
     }
 
+    /** Checks that the key was good enough for a statement that ran, or bad enough for a refusal. */
+    private checkKey(response: string, sentAt: number, receipt: string | undefined): void {
+        const hasRun = receipt !== undefined && receipt !== "-";
+        if (hasRun && !this.keys.mayServe(this.key, sentAt)) this.checker.recordViolation(`${this.name} was served ${receipt} with ${this.key}`);
+        if (response.startsWith("ERR NOAUTH") && !this.keys.mayRefuse(this.key, sentAt)) {
+            this.checker.recordViolation(`${this.name} was refused with ${this.key}`);
+        }
+    }
+
     private nextId(): string {
         return `${this.name}x${(++this.statementCount).toString(16)}`;
     }
--- a/packages/bench/src/soak/soakFleet.ts
+++ b/packages/bench/src/soak/soakFleet.ts
@@ -18,13 +18,15 @@
         public readonly folder: string,
     ) {}
 
-    public static async create(vmCount: number, maxConnections: number): Promise<SoakFleet> {
+    /** `configure` puts the first configuration of the run in force, before the VMs start. */
+    public static async create(vmCount: number, maxConnections: number, configure: (platform: LinePlatform) => void): Promise<SoakFleet> {
         const upstreamProxies: FaultProxy[] = [];
         const platform = await LinePlatform.create(maxConnections, async address => {
             const proxy = await FaultProxy.create(address);
             upstreamProxies.push(proxy);
             return proxy.address;
         });
+        configure(platform);
         const folder = mkdtempSync(join(tmpdir(), "vanillarouter-soak-"));
         const storeProxies: FaultProxy[] = [];
         const vms: SoakVm[] = [];
