Test keys that move to another tenant, to a public route or to callers that are not authenticated

The session's tests sent COMMIT in a form that the fake upstream does not take for one, so a commit changed nothing; they now send it as callers do. New cases: a key that another tenant or nobody holds on a public route, and tenants that appear in the configuration or disappear from it, which must not end open transactions. The fixture is smaller.

--- a/packages/session/src/entry/callerSession.test.ts
+++ b/packages/session/src/entry/callerSession.test.ts
@@ -88,17 +88,37 @@
 });
 
 // Guards against an operation that runs for the former tenant of a key: on its connections, at the cost of its quota.
-test("a key that gets another tenant ends the open transaction, and later operations belong to the new tenant", () => {
-    const sessions = SessionTestBed.create();
-    sessions.configure({ a: ["k1"], b: [] });
-    const channel = sessions.logIn("k1");
-    sessions.send(channel, "b1", Begin);
-    sessions.send(channel, "w1", Write);
-    sessions.configure({ a: [], b: ["k1"] });
-    assert.equal(sessions.send(channel, "c1", Commit), ErrorKind.Aborted);
-    assert.equal(sessions.send(channel, "r1", Read), "ok");
-    assert.deepEqual(sessions.requests.map(req => req.tenant), ["a", "b"]);
-    assert.deepEqual(sessions.admitted, ["a", "b"]);
+test("a key that gets another tenant, or none on a public route, ends the open transaction, and later operations are not the former tenant's", () => {
+    for (const next of ["b", undefined]) {
+        const sessions = SessionTestBed.create();
+        sessions.configure({ a: ["k1"], b: [] }, true);
+        const channel = sessions.logIn("k1");
+        sessions.send(channel, "b1", Begin);
+        sessions.send(channel, "w1", Write);
+        sessions.configure({ a: [], b: next === undefined ? [] : ["k1"] }, true);
+        sessions.pass(60);
+        assert.equal(sessions.rollBackCount, 1);
+        assert.equal(sessions.send(channel, "c1", Commit), ErrorKind.Aborted);
+        assert.equal(sessions.send(channel, "r1", Read), "ok");
+        assert.deepEqual(sessions.requests.map(req => req.tenant), ["a", next]);
+        assert.deepEqual(sessions.admitted, next === undefined ? ["a"] : ["a", next]);
+        assert.deepEqual(sessions.committedIds, []);
+    }
+});
+
+// Guards against transactions that fail because operators begin, or cease, to authenticate callers.
+test("an open transaction goes on when tenants appear in the configuration or disappear from it", () => {
+    for (const [before, after] of [[undefined, { a: ["k1"] }], [{ a: ["k1"] }, undefined]]) {
+        const sessions = SessionTestBed.create();
+        sessions.configure(before);
+        const channel = sessions.logIn("k1");
+        sessions.send(channel, "b1", Begin);
+        sessions.send(channel, "w1", Write);
+        sessions.configure(after);
+        sessions.pass(60);
+        assert.equal(sessions.send(channel, "c1", Commit), "ok");
+        assert.deepEqual(sessions.committedIds, ["c1"]);
+    }
 });
 
 // Guards against an admission that is counted for one tenant while the operation runs for another, or for none.
--- a/packages/session/src/testing/fakeCallerChannel.ts
+++ b/packages/session/src/testing/fakeCallerChannel.ts
@@ -6,39 +6,28 @@
 
 /** A caller's connection of a test, which records the responses. */
 export class FakeCallerChannel implements CallerChannel {
+    public readonly database = "db";
     public readonly callerAddress = "caller";
+    public readonly statements = Channel.create<CallerStatement | undefined>();
     /** `ready`, `ok`, or the kind of an error, in the order in which they were sent. */
     public readonly responses: string[] = [];
     public lastText = "";
     public isClosed = false;
-    private readonly statements = Channel.create<CallerStatement | undefined>();
+    public readonly sendReady = (): void => void this.responses.push("ready");
+    public readonly sendSuccess = (): void => void this.responses.push("ok");
+    public readonly forgetCredential = (): void => void (this.credential = undefined);
+    public readonly close = (): void => void (this.isClosed = true);
 
-    private constructor(public readonly database: string, public credential: string | undefined) {}
+    private constructor(public credential: string | undefined) {}
 
-    public static create(database: string, credential: string | undefined): FakeCallerChannel {
-        return new FakeCallerChannel(database, credential);
-    }
-
-    public forgetCredential(): void {
-        this.credential = undefined;
-    }
-
-    public send(statement: CallerStatement): void {
-        this.statements.send(statement);
+    public static create(credential: string | undefined): FakeCallerChannel {
+        return new FakeCallerChannel(credential);
     }
 
     public receive(): Operation<CallerStatement | undefined> {
         return this.statements.receive();
     }
 
-    public sendReady(): void {
-        this.responses.push("ready");
-    }
-
-    public sendSuccess(): void {
-        this.responses.push("ok");
-    }
-
     public sendError(error: ErrorKind, text: string): void {
         this.responses.push(error);
         this.lastText = text;
@@ -48,8 +37,4 @@
         this.sendError(error, text);
         this.close();
     }
-
-    public close(): void {
-        this.isClosed = true;
-    }
 }
--- a/packages/session/src/testing/sessionTestBed.ts
+++ b/packages/session/src/testing/sessionTestBed.ts
@@ -7,19 +7,16 @@
 import { SessionContext } from "../entry/sessionContext";
 import { Shutdown } from "../entry/shutdown";
 import { Admission } from "../model/admission";
-import { AdmissionControl } from "../model/admissionControl";
 import { CallerTransaction } from "../model/callerTransaction";
 import { Freshness } from "../model/freshness";
 import { OperationExecutor } from "../model/operationExecutor";
-import { RoutingConfiguration } from "../model/routingConfiguration";
 import { StatementKind } from "../model/statementKind";
 import { TenantDirectory } from "../model/tenantDirectory";
 import { FakeCallerChannel } from "./fakeCallerChannel";
 import { TestBed } from "./testBed";
 
 /** Sessions of a VM whose configurations, requests and admission checks a test sees. */
-export class SessionTestBed implements OperationExecutor, AdmissionControl {
-    public readonly bed = TestBed.create();
+export class SessionTestBed {
     /** Requests that reached the executor. */
     public readonly requests: CallerRequest[] = [];
     /** Tenants that were asked for admission. */
@@ -27,13 +24,21 @@
     public rollBackCount = 0;
     /** Called for each admission check. */
     public onAdmit: () => Admission = () => ({ isAdmitted: true, retryDelayMs: 0 });
-    private readonly executor = LocalExecutor.create(this.bed.context, this.bed.groups);
+    public readonly bed = TestBed.create();
+    private readonly local = LocalExecutor.create(this.bed.context, this.bed.groups);
+    private readonly executor: OperationExecutor = {
+        runStatement: (req, statement) => {
+            this.requests.push(req);
+            return this.local.runStatement(req, statement);
+        },
+        openTransaction: req => this.openTransaction(req),
+    };
     private readonly context: SessionContext = {
         ...this.bed.context,
         cluster: this.bed.cluster,
-        executors: { select: () => this } as unknown as ExecutorSelector,
+        executors: { select: () => this.executor } as unknown as ExecutorSelector,
         shutdown: Shutdown.create(this.bed.clock),
-        admission: this,
+        admission: { admit: tenant => this.admit(tenant) },
     };
     private version = 0;
 
@@ -49,26 +54,26 @@
     public configure(keys: Readonly<Record<string, readonly string[]>> | undefined, isPublic = false): void {
         const { workClass } = this.bed.createRequest(Freshness.Latest, false);
         const limits = { ratePerSecond: undefined, burst: undefined };
-        const configuration: RoutingConfiguration = {
+        this.bed.cluster.applyConfiguration({
             version: ++this.version,
             classes: new Map([[workClass.database, workClass]]),
-            services: new Map([[workClass.service, { name: workClass.service, maxConnections: 8 }]]),
+            services: new Map(),
             transactionIdleMs: 0,
             tenants: keys && TenantDirectory.create(Object.entries(keys).map(([name, held]) => ({ tenant: { name, ...limits }, keys: held }))),
             publicDatabases: new Set(isPublic ? [workClass.database] : []),
-        };
-        this.bed.cluster.applyConfiguration(configuration);
+        });
     }
 
     public logIn(key: string | undefined): FakeCallerChannel {
-        const channel = FakeCallerChannel.create("db", key);
+        const channel = FakeCallerChannel.create(key);
         Task.start(CallerSession.create(channel, this.context).run());
         return channel;
     }
 
     /** Sends a statement and lets `durationMs` pass. Returns the kind of the last response. */
     public send(channel: FakeCallerChannel, id: string, kind: StatementKind, durationMs = 40): string | undefined {
-        channel.send(this.bed.createStatement(id, kind, `${kind.toUpperCase()} a ${id}`));
+        const text = kind === StatementKind.Commit ? "COMMIT" : `${kind.toUpperCase()} a ${id}`;
+        channel.statements.send(this.bed.createStatement(id, kind, text));
         this.pass(durationMs);
         return channel.responses.at(-1);
     }
@@ -82,19 +87,14 @@
         return this.bed.fakeGroup.find("u1").log.map(entry => entry.id);
     }
 
-    public *admit(tenant: string): Operation<Admission> {
+    private *admit(tenant: string): Operation<Admission> {
         this.admitted.push(tenant);
         return this.onAdmit();
     }
 
-    public runStatement(...args: Parameters<OperationExecutor["runStatement"]>): ReturnType<OperationExecutor["runStatement"]> {
-        this.requests.push(args[0]);
-        return this.executor.runStatement(...args);
-    }
-
-    public openTransaction(req: CallerRequest): CallerTransaction {
+    private openTransaction(req: CallerRequest): CallerTransaction {
         this.requests.push(req);
-        const transaction = this.executor.openTransaction(req);
+        const transaction = this.local.openTransaction(req);
         const rollBack = (): void => {
             this.rollBackCount++;
             transaction.rollBack();
