Keep upstream connections by tenant

An upstream connection belongs to the tenant that is named at its login, so no statement of another tenant may run on it, and opening one costs the upstream 12 ms of a slot. The pool dialed without a tenant, handed any idle connection to any request, closed idle ones after 4 s, and let work wait for a connection while it held a slot.

Idle connections are now used only for their own tenant. At the limit the one whose tenant needs it least often is closed. A tenant holds at most half of a pool; tenants leave one connection for status and fencing commands, which otherwise use any idle one, and wait for a returned one before statements if the upstream answers TOOMANY. Work of a tenant waits for a connection without a slot. Pools without tenants decide as before.

The connections, the decision, the demand and the opening of connections are modules of their own.

--- a/packages/session/src/testing/fakeDialer.ts
+++ b/packages/session/src/testing/fakeDialer.ts
@@ -21,11 +21,12 @@
         return new FakeDialer(group, clock);
     }
 
-    public *dial(upstream: UpstreamEntry, _tenant: string | undefined, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
+    public *dial(upstream: UpstreamEntry, tenant: string | undefined, timeoutMs: number): Operation<Result<UpstreamLink, ErrorKind>> {
         this.dialCount++;
         const server = this.group.find(upstream.id);
         if (server.refusesDials) return Err(ErrorKind.Other);
         yield* sleep(this.clock, server.isUnresponsive ? timeoutMs : dialMs);
-        return server.isUnresponsive ? Err(ErrorKind.TimedOut) : Ok(FakeLink.create(server, this.clock));
+        if (server.isUnresponsive) return Err(ErrorKind.TimedOut);
+        return server.sessions.size >= server.maxConnections ? Err(ErrorKind.TooManyConnections) : Ok(FakeLink.create(server, this.clock, tenant));
     }
 }
--- a/packages/session/src/testing/fakeLink.ts
+++ b/packages/session/src/testing/fakeLink.ts
@@ -18,12 +18,13 @@
     private readonly session: ReturnType<FakeUpstreamServer["createSession"]>;
     private status: UpstreamStatus | undefined;
 
-    private constructor(private readonly server: FakeUpstreamServer, private readonly clock: Clock) {
-        this.session = server.createSession();
+    private constructor(private readonly server: FakeUpstreamServer, private readonly clock: Clock, tenant: string | undefined) {
+        this.session = server.createSession(tenant);
+        server.sessions.add(this.session);
     }
 
-    public static create(server: FakeUpstreamServer, clock: Clock): FakeLink {
-        return new FakeLink(server, clock);
+    public static create(server: FakeUpstreamServer, clock: Clock, tenant?: string): FakeLink {
+        return new FakeLink(server, clock, tenant);
     }
 
     public get isOpen(): boolean {
@@ -70,6 +71,7 @@
     public close(): void {
         if (!this.open) return;
         this.open = false;
+        this.server.sessions.delete(this.session);
         for (const listener of this.listeners) listener();
     }
 }
--- a/packages/session/src/testing/fakeUpstreamServer.ts
+++ b/packages/session/src/testing/fakeUpstreamServer.ts
@@ -22,6 +22,8 @@
     /** Number of transactions that have begun on the connection. */
     transactionCount: number;
     readonly connection: number;
+    /** Tenant that was named at login. */
+    readonly tenant: string | undefined;
     readonly values: Map<string, string>;
     readonly prepared: Map<string, PreparedStatement>;
 }
@@ -46,6 +48,14 @@
     public refusesDials = false;
     /** Errors that the next statements return, one for each. */
     public nextErrors: ErrorKind[] = [];
+    /** New connections beyond this number are refused with `TooManyConnections`. */
+    public maxConnections = Number.POSITIVE_INFINITY;
+    /** Tenants of statements by their ids; undefined for callers without a tenant. Statements without an entry are not checked. */
+    public readonly tenantsById = new Map<string, string | undefined>();
+    /** Ids of the statements that were refused because they came on a connection of another tenant. */
+    public readonly foreignIds: string[] = [];
+    /** Open connections of VMs. */
+    public readonly sessions = new Set<ServerSession>();
     /** Called after each statement that ran without an error. */
     public onExecuted: (execution: FakeExecution) => void = () => undefined;
     private connectionCount = 0;
@@ -64,9 +74,9 @@
         return { isPrimary: this.isPrimary, term: this.term, received: this.position, fenceTerm: this.fenceTerm, lagMs: 0, busySlots: 0, connections: 1 };
     }
 
-    public createSession(): ServerSession {
+    public createSession(tenant?: string): ServerSession {
         const connection = ++this.connectionCount;
-        return { state: TransactionState.Idle, pendingWrites: [], transactionCount: 0, connection, values: new Map(), prepared: new Map() };
+        return { state: TransactionState.Idle, pendingWrites: [], transactionCount: 0, connection, tenant, values: new Map(), prepared: new Map() };
     }
 
     /** Runs one command of a connection. */
@@ -100,6 +110,10 @@
     private findError(session: ServerSession, command: UpstreamCommand): ErrorKind | undefined {
         if (command.floor !== undefined && compareLogPositions(this.position, command.floor) < 0) return ErrorKind.Lagging;
         if (command.kind === CommandKind.Begin) return this.isPrimary || command.readOnly === true ? undefined : ErrorKind.ReadOnly;
+        if (this.tenantsById.has(command.id!) && this.tenantsById.get(command.id!) !== session.tenant) {
+            this.foreignIds.push(command.id!);
+            return ErrorKind.Failed;
+        }
         const statement = this.decode(session, command);
         if (statement.isUnknown) return ErrorKind.NoStatement;
         const isWritingCommit = statement.isCommit && session.pendingWrites.length > 0;
--- a/packages/session/src/testing/testBed.ts
+++ b/packages/session/src/testing/testBed.ts
@@ -19,7 +19,9 @@
 import { CallerStatement } from "../model/callerStatement";
 import { Freshness } from "../model/freshness";
 import { StatementKind } from "../model/statementKind";
+import { TenantDirectory } from "../model/tenantDirectory";
 import { DecisionLog } from "../observability/decisionLog";
+import { SlotRequest } from "../upstream/slotRequest";
 import { UpstreamPools } from "../upstream/upstreamPools";
 import { FakeDialer } from "./fakeDialer";
 import { FakeGroupServers } from "./fakeGroupServers";
@@ -71,6 +73,18 @@
         this.cluster.putUpstream({ id, service, host: "127.0.0.1", port: 1, zone, slots: 2, isLeaving, claimsPrimary, startedAtMs: 1 });
     }
 
+    /** Applies a configuration with tenants, under which this VM may hold `connections` connections to each upstream. */
+    public useTenants(names: readonly string[], connections: number): void {
+        const entries = names.map(name => ({ tenant: { name, ratePerSecond: undefined, burst: undefined }, keys: [] }));
+        this.cluster.applyConfiguration({
+            version: (this.cluster.configuration?.version ?? 0) + 1,
+            classes: new Map(),
+            services: new Map([[service, { name: service, maxConnections: Math.ceil(connections / 0.9) }]]),
+            transactionIdleMs: 0,
+            tenants: TenantDirectory.create(entries),
+        });
+    }
+
     public createPromotion(): Promotion {
         const { clock, suspension, fakeGroup, log } = this;
         const take = (): number | undefined => this.takeClaim();
@@ -94,6 +108,12 @@
         return GroupWatcher.create(this.group, this.cluster, this.clock, this.suspension, this.createPromotion(), onNoResponse);
     }
 
+    /** Returns a request of a class of rank 0 for the pool of one upstream, with a deadline in half a second. */
+    public createSlotRequest(tenant?: string, session = this.session): SlotRequest {
+        const { workClass, receivedAt } = this.createRequest(Freshness.OwnWrites, true);
+        return { session, workClass, tenant, receivedAt, deadline: receivedAt + 500, waitDeadline: receivedAt + 500 };
+    }
+
     public createRequest(freshness: Freshness, readOnly: boolean, maxAgeMs = 1_000): CallerRequest {
         const workClass = { database: "db", service, freshness, maxAgeMs, statementTimeoutMs: 1_000, targetMs: 200, rank: 0 };
         return { id: "r", workClass, session: this.session, floors: this.floors, receivedAt: this.clock.now(), readOnly, mayRead: readOnly };
--- a/packages/session/src/upstream/poolLimits.ts
+++ b/packages/session/src/upstream/poolLimits.ts
@@ -4,4 +4,6 @@
     getConnectionLimit(): number;
     /** Returns how many VMs use the upstreams' slots. */
     getGatewayCount(): number;
+    /** Whether the configuration has tenants, so that connections belong to tenants. */
+    hasTenants(): boolean;
 }
--- /dev/null
+++ b/packages/session/src/upstream/tenantReplay.test.ts
@@ -0,0 +1,69 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
+import { sleep } from "@vanillarouter/base/sleep";
+import { Task } from "@vanillarouter/base/task";
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { TenantLoad } from "../testing/tenantLoad";
+import { TestBed } from "../testing/testBed";
+
+const seed = 20261206;
+const durationMs = 60_000;
+/** Operations per second of one service at one of three gateways. */
+const operationsPerSecond = 42;
+
+type Arrivals = ReturnType<TenantLoad["generate"]>;
+
+/** Plays the arrivals on one pool. Returns how many operations ran and how many connections were opened for them. */
+function replayPool(load: TenantLoad, arrivals: Arrivals, limit: number): { readonly served: number; readonly opened: number; } {
+    const bed = TestBed.create();
+    bed.useTenants(load.tenants, limit);
+    const pool = bed.pools.find("u1")!;
+    let served = 0;
+    function* play({ tenant, holdMs }: Arrivals[number]): Operation<void> {
+        const ran = yield* pool.run(bed.createSlotRequest(tenant), function*(connection): Operation<void> {
+            assert.equal(connection.tenant, tenant);
+            yield* sleep(bed.clock, holdMs);
+            pool.returnConnection(connection);
+        });
+        if (ran.ok) served++;
+    }
+    let next = 0;
+    for (let nowMs = 0; nowMs < durationMs + 1_000; nowMs++) {
+        for (; next < arrivals.length && arrivals[next]!.atMs <= nowMs; next++) Task.start(play(arrivals[next]!));
+        bed.clock.advance(1);
+        assert.ok(bed.fakeGroup.find("u1").sessions.size <= limit);
+    }
+    return { served, opened: bed.dialer.dialCount };
+}
+
+/** Opens a connection whenever a tenant has none that is idle, and closes the oldest idle one at the limit. Returns how many it opens. */
+function replayNaive(arrivals: Arrivals, limit: number): number {
+    const connections: { readonly tenant: string; busyUntil: number; }[] = [];
+    let opened = 0;
+    for (const { atMs, tenant, holdMs } of arrivals) {
+        const idle = connections.find(connection => connection.tenant === tenant && connection.busyUntil <= atMs);
+        if (idle !== undefined) {
+            idle.busyUntil = atMs + holdMs;
+            continue;
+        }
+        opened++;
+        const oldest = connections.findIndex(connection => connection.busyUntil <= atMs);
+        if (connections.length >= limit && oldest >= 0) connections.splice(oldest, 1);
+        connections.push({ tenant, busyUntil: atMs + holdMs });
+    }
+    return opened;
+}
+
+// Guards against closing connections that are needed again at once: each costs the upstream 12 ms of a slot.
+for (const [limit, maxRatio] of [[16, 0.85], [50, 0.85]] as const) {
+    test(`87 tenants of unequal size on ${limit} connections open fewer than by closing the oldest`, context => {
+        const load = TenantLoad.create(SeededRandom.create(seed));
+        const arrivals = load.generate(operationsPerSecond, durationMs);
+        const { served, opened } = replayPool(load, arrivals, limit);
+        const naive = replayNaive(arrivals, limit);
+        context.diagnostic(`${arrivals.length} operations, ${served} served, ${opened} connections opened, ${naive} by closing the oldest`);
+        assert.ok(served >= 0.999 * arrivals.length);
+        assert.ok(opened <= maxRatio * naive, `${opened} against ${naive}`);
+    });
+}
--- a/packages/session/src/upstream/upstreamConnection.ts
+++ b/packages/session/src/upstream/upstreamConnection.ts
@@ -18,10 +18,11 @@
     private readonly preparedNames = new Map<string, string>();
     private preparedCount = 0;
 
-    private constructor(public readonly link: UpstreamLink) {}
+    private constructor(public readonly link: UpstreamLink, public readonly tenant: string | undefined) {}
 
-    public static create(link: UpstreamLink): UpstreamConnection {
-        return new UpstreamConnection(link);
+    /** `tenant` is the tenant to which the connection belongs; undefined if it belongs to none. */
+    public static create(link: UpstreamLink, tenant?: string): UpstreamConnection {
+        return new UpstreamConnection(link, tenant);
     }
 
     /** Returns the number of commands that are needed to give this connection the session's values. */
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -2,6 +2,8 @@
 import { ClusterState } from "../cluster/clusterState";
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { UpstreamEntry } from "../model/upstreamEntry";
+import { ConnectionObserver } from "./connectionObserver";
+import { silentConnectionObserver } from "./silentConnectionObserver";
 import { UpstreamPool } from "./upstreamPool";
 
 /** Number of idle connections per pool that are never closed for being idle. */
@@ -16,10 +18,17 @@
         private readonly clock: Clock,
         private readonly dialer: UpstreamDialer,
         public readonly zone: string,
+        private readonly observer: ConnectionObserver,
     ) {}
 
-    public static create(cluster: ClusterState, clock: Clock, dialer: UpstreamDialer, zone: string): UpstreamPools {
-        return new UpstreamPools(cluster, clock, dialer, zone);
+    public static create(
+        cluster: ClusterState,
+        clock: Clock,
+        dialer: UpstreamDialer,
+        zone: string,
+        observer: ConnectionObserver = silentConnectionObserver,
+    ): UpstreamPools {
+        return new UpstreamPools(cluster, clock, dialer, zone, observer);
     }
 
     public list(service: string): readonly UpstreamPool[] {
@@ -46,14 +55,19 @@
             if (this.cluster.findUpstream(id) === undefined) {
                 // Only idle connections are closed: statements in flight keep theirs, and no new ones reach a removed pool.
                 this.pools.delete(id);
-                pool.closeIdle(0, 0);
+                pool.closeIdle(0, 0, false);
             }
             else {
-                pool.closeIdle(maxIdleMs, this.cluster.gateways.isGateway(pool.upstream.service) ? keptIdleConnections : 0);
+                const isGateway = this.cluster.gateways.isGateway(pool.upstream.service);
+                pool.closeIdle(maxIdleMs, isGateway ? keptIdleConnections : 0, isGateway && this.hasTenants);
             }
         }
     }
 
+    private get hasTenants(): boolean {
+        return this.cluster.configuration?.tenants !== undefined;
+    }
+
     private getOrCreate(upstream: UpstreamEntry): UpstreamPool {
         const known = this.pools.get(upstream.id);
         if (known !== undefined && known.upstream === upstream) return known;
@@ -63,10 +77,12 @@
         }
         known?.close();
         const { gateways } = this.cluster;
-        const pool = UpstreamPool.create(upstream, this.clock, this.dialer, {
+        const limits = {
             getConnectionLimit: () => gateways.getConnectionLimit(upstream.service),
             getGatewayCount: () => gateways.list(upstream.service).length,
-        });
+            hasTenants: () => this.hasTenants,
+        };
+        const pool = UpstreamPool.create(upstream, this.clock, this.dialer, limits, this.observer);
         this.pools.set(upstream.id, pool);
         return pool;
     }
--- a/packages/session/src/upstream/waitQueue.ts
+++ b/packages/session/src/upstream/waitQueue.ts
@@ -1,18 +1,17 @@
-interface Waiter<T> {
-    readonly rank: number;
-    readonly order: number;
-    readonly wake: (value: T) => void;
-}
+import { ConnectionChoiceKind } from "./connectionChoiceKind";
+import { ConnectionWaiter } from "./connectionWaiter";
+
+/** A waiter that needs a new connection lets others of its rank use the existing ones for this time, because opening costs slot time. */
+const maxBypassMs = 50;
 
-/** A priority queue of waiters: ordered by rank, and first in, first out within a rank. */
-export class WaitQueue<T> {
-    private readonly waiters: Waiter<T>[] = [];
-    private order = 0;
+/** Waiters for connections: ordered by rank, and by the time since which they wait within a rank. */
+export class WaitQueue {
+    private readonly waiters: ConnectionWaiter[] = [];
 
     private constructor() {}
 
-    public static create<T>(): WaitQueue<T> {
-        return new WaitQueue<T>();
+    public static create(): WaitQueue {
+        return new WaitQueue();
     }
 
     public get size(): number {
@@ -20,21 +19,34 @@
     }
 
     /** Adds a waiter. The returned function removes it. */
-    public add(rank: number, wake: (value: T) => void): () => void {
-        const waiter: Waiter<T> = { rank, order: this.order++, wake };
+    public add(waiter: ConnectionWaiter): () => void {
         let index = this.waiters.length;
-        while (index > 0 && this.waiters[index - 1]!.rank > rank) index--;
+        while (index > 0 && this.precedes(waiter, this.waiters[index - 1]!)) index--;
         this.waiters.splice(index, 0, waiter);
-        return () => {
-            const at = this.waiters.indexOf(waiter);
-            if (at >= 0) this.waiters.splice(at, 1);
-        };
+        return () => this.remove(waiter);
+    }
+
+    /** Wakes the first waiter that can proceed at the local time `now` in milliseconds, if there is one. */
+    public wakeFirst(now: number): void {
+        const first = this.waiters.find(waiter => waiter.choose() !== ConnectionChoiceKind.Wait);
+        if (first === undefined) return;
+        const chosen = this.findReuser(first, now) ?? first;
+        this.remove(chosen);
+        chosen.wake();
+    }
+
+    /** Returns a waiter of the same rank that can use an idle connection, while `first` needs a new one and has not waited for long. */
+    private findReuser(first: ConnectionWaiter, now: number): ConnectionWaiter | undefined {
+        if (now - first.since >= maxBypassMs) return undefined;
+        return this.waiters.find(waiter => waiter.rank === first.rank && waiter.choose() === ConnectionChoiceKind.Reuse);
+    }
+
+    private remove(waiter: ConnectionWaiter): void {
+        const index = this.waiters.indexOf(waiter);
+        if (index >= 0) this.waiters.splice(index, 1);
     }
 
-    /** Wakes the first waiter. Returns false if there is none. */
-    public wakeFirst(value: T): boolean {
-        const waiter = this.waiters.shift();
-        waiter?.wake(value);
-        return waiter !== undefined;
+    private precedes(first: ConnectionWaiter, second: ConnectionWaiter): boolean {
+        return first.rank < second.rank || (first.rank === second.rank && first.since < second.since);
     }
 }
