--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -48,7 +48,7 @@
         const floor = this.selectHigherPosition(sample.position, req.floors.find(req.workClass.service));
         const evidence = { floor, floorCoversUntil: sample.coversUntil, verifiedAt: undefined };
         if (mayUseReplica) {
-            const pool = this.chooseReadPool(group, floor, triedUpstreamIds);
+            const pool = this.chooseReadPool(group, req, floor, triedUpstreamIds);
             const isPrimary = pool?.upstream.id === group.primaryTracker.primary?.id;
             return pool === undefined ? undefined : { pool, primaryTerm: isPrimary ? group.primaryTracker.primary?.term : undefined, ...evidence };
         }
@@ -116,12 +116,12 @@
         return second !== undefined && compareLogPositions(second, first) > 0 ? second : first;
     }
 
-    private chooseReadPool(group: ServiceGroup, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): UpstreamPool | undefined {
+    private chooseReadPool(group: ServiceGroup, req: CallerRequest, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): UpstreamPool | undefined {
         let best: UpstreamPool | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
         for (const pool of group.pools.list(group.service)) {
             if (group.pools.isLeavingGraceOver(pool.upstream.id)) continue;
-            const cost = this.computeReadCost(group, pool, floor, triedUpstreamIds);
+            const cost = this.computeReadCost(group, pool, floor, triedUpstreamIds) + pool.computeConnectionCostMs(req.tenant) / fullLoadResponseMs;
             if (cost >= bestCost) continue;
             best = pool;
             bestCost = cost;
