Prefer the same gateway for a tenant's operations

An upstream connection belongs to one tenant, so if callers of a tenant reach all gateways of a service, each of these opens connections for it. With a tenant, an entry VM now tries the gateways in the tenant's order by rendezvous hashing over service, tenant and gateway. The next one in this order is tried first if the preferred one has three more active calls of this VM (two more or less with the zone). Without a tenant the order is as before, with the same random numbers.

--- a/packages/relay/src/relayExecutor.ts
+++ b/packages/relay/src/relayExecutor.ts
@@ -28,7 +28,7 @@
         const { clock, gateways } = this.context;
         const deadline = req.receivedAt + req.workClass.statementTimeoutMs;
         const service = req.workClass.service;
-        for (const gateway of gateways.listUsable(service).slice(0, RelayLimits.maxGatewaysTried)) {
+        for (const gateway of gateways.listUsable(service, req.tenant).slice(0, RelayLimits.maxGatewaysTried)) {
             if (clock.now() >= deadline) break;
             const startedAt = clock.now();
             const link = yield* gateway.obtainLink();
--- a/packages/relay/src/relayGateways.ts
+++ b/packages/relay/src/relayGateways.ts
@@ -6,6 +6,7 @@
 import { ClusterState } from "@vanillarouter/session/cluster/clusterState";
 import { MemberEntry } from "@vanillarouter/session/model/memberEntry";
 import * as bunyan from "bunyan";
+import { GatewayOrder } from "./gatewayOrder";
 import { RelayGateway } from "./relayGateway";
 import { RelayLink } from "./relayLink";
 
@@ -13,11 +14,6 @@
 /** Failed gateways are retried once in this many checks of the links. */
 const linkChecksPerRetry = 4;
 const serviceCheckTimeoutMs = 300;
-/** A gateway in this zone is preferred to one in another zone unless it has this many more active calls. */
-const otherZonePenalty = 2;
-/** Range of the random cost that keeps entry VMs with few calls from all choosing the same gateway. */
-const randomCostRange = 1;
-
 /** The gateways to which this VM relays statements, and the state of each. */
 export class RelayGateways {
     private readonly gateways = new Map<string, RelayGateway>();
@@ -26,21 +22,21 @@
     private constructor(
         private readonly cluster: ClusterState,
         private readonly clock: Clock,
-        private readonly zone: string,
+        private readonly order: GatewayOrder,
         private readonly tasks: TaskGroup,
-        private readonly random: RandomSource,
         private readonly log: bunyan,
     ) {}
 
     public static create(cluster: ClusterState, clock: Clock, zone: string, tasks: TaskGroup, random: RandomSource, log: bunyan): RelayGateways {
-        return new RelayGateways(cluster, clock, zone, tasks, random, log);
+        return new RelayGateways(cluster, clock, GatewayOrder.create(zone, random), tasks, log);
     }
 
-    /** Returns the gateways of a service whose last call did not fail. Those in this VM's zone and with few active calls come first. */
-    public listUsable(service: string): readonly RelayGateway[] {
-        const usable = this.list(service).filter(gateway => !gateway.hasFailed(service));
-        const costs = new Map(usable.map(gateway => [gateway, this.computeCost(gateway)]));
-        return usable.sort((first, second) => costs.get(first)! - costs.get(second)!);
+    /**
+     * Returns the gateways of a service whose last call did not fail. With a tenant, those that the tenant prefers come first, otherwise
+     * those in this VM's zone; in both cases unless they have more active calls.
+     */
+    public listUsable(service: string, tenant: string | undefined): readonly RelayGateway[] {
+        return this.order.sort(service, this.list(service).filter(gateway => !gateway.hasFailed(service)), tenant);
     }
 
     /** Whether this VM has no usable gateway for the service. */
@@ -120,10 +116,6 @@
         return members.map(member => this.getOrCreate(member));
     }
 
-    private computeCost(gateway: RelayGateway): number {
-        return gateway.activeCalls + (gateway.zone === this.zone ? 0 : otherZonePenalty) + this.random.next() * randomCostRange;
-    }
-
     private removeNonMembers(): void {
         for (const [id, gateway] of this.gateways) {
             if (this.cluster.findMember(id) !== undefined) continue;
--- a/packages/relay/src/relayedTransaction.ts
+++ b/packages/relay/src/relayedTransaction.ts
@@ -58,7 +58,7 @@
     private *run(statement: CallerStatement): Operation<StatementOutcome> {
         if (this.remote !== undefined) return yield* this.runAtGateway(this.remote, statement);
         const service = this.req.workClass.service;
-        for (const gateway of this.context.gateways.listUsable(service).slice(0, RelayLimits.maxGatewaysTried)) {
+        for (const gateway of this.context.gateways.listUsable(service, this.req.tenant).slice(0, RelayLimits.maxGatewaysTried)) {
             const startedAt = this.context.clock.now();
             const outcome = yield* this.beginAtGateway(gateway, statement, startedAt);
             if (outcome !== undefined) return outcome;
