--- a/packages/session/src/upstream/tenantReplay.test.ts
+++ b/packages/session/src/upstream/tenantReplay.test.ts
@@ -1,11 +1,8 @@
-import { Operation } from "@vanillarouter/base/operation";
 import { SeededRandom } from "@vanillarouter/base/seededRandom";
-import { sleep } from "@vanillarouter/base/sleep";
-import { Task } from "@vanillarouter/base/task";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { PoolReplay } from "../testing/poolReplay";
 import { TenantLoad } from "../testing/tenantLoad";
-import { TestBed } from "../testing/testBed";
 
 const seed = 20261206;
 const durationMs = 60_000;
@@ -14,27 +11,15 @@
 
 type Arrivals = ReturnType<TenantLoad["generate"]>;
 
-/** Plays the arrivals on one pool. Returns how many operations ran and how many connections were opened for them. */
-function replayPool(load: TenantLoad, arrivals: Arrivals, limit: number): { readonly served: number; readonly opened: number; } {
-    const bed = TestBed.create();
-    bed.useTenants(load.tenants, limit);
-    const pool = bed.pools.find("u1")!;
-    let served = 0;
-    function* play({ tenant, holdMs }: Arrivals[number]): Operation<void> {
-        const ran = yield* pool.run(bed.createSlotRequest(tenant), function*(connection): Operation<void> {
-            assert.equal(connection.tenant, tenant);
-            yield* sleep(bed.clock, holdMs);
-            pool.returnConnection(connection);
-        });
-        if (ran.ok) served++;
-    }
+/** Plays the arrivals on one pool. */
+function replayPool(load: TenantLoad, arrivals: Arrivals, limit: number): PoolReplay {
+    const replay = PoolReplay.create(load.tenants, limit);
     let next = 0;
     for (let nowMs = 0; nowMs < durationMs + 1_000; nowMs++) {
-        for (; next < arrivals.length && arrivals[next]!.atMs <= nowMs; next++) Task.start(play(arrivals[next]!));
-        bed.clock.advance(1);
-        assert.ok(bed.fakeGroup.find("u1").sessions.size <= limit);
+        for (; next < arrivals.length && arrivals[next]!.atMs <= nowMs; next++) replay.start(arrivals[next]!.tenant, arrivals[next]!.holdMs);
+        replay.advance(1);
     }
-    return { served, opened: bed.dialer.dialCount };
+    return replay;
 }
 
 /** Opens a connection whenever a tenant has none that is idle, and closes the oldest idle one at the limit. Returns how many it opens. */
@@ -60,10 +45,11 @@
     test(`87 tenants of unequal size on ${limit} connections open fewer than by closing the oldest`, context => {
         const load = TenantLoad.create(SeededRandom.create(seed));
         const arrivals = load.generate(operationsPerSecond, durationMs);
-        const { served, opened } = replayPool(load, arrivals, limit);
+        const { served, opened, maxConnections } = replayPool(load, arrivals, limit);
         const naive = replayNaive(arrivals, limit);
         context.diagnostic(`${arrivals.length} operations, ${served} served, ${opened} connections opened, ${naive} by closing the oldest`);
         assert.ok(served >= 0.999 * arrivals.length);
+        assert.ok(maxConnections <= limit);
         assert.ok(opened <= maxRatio * naive, `${opened} against ${naive}`);
     });
 }
