Let few VMs be gateways where connections belong to tenants

With 25 VMs or fewer all VMs were gateways with as few as 2 connections to each upstream. With tenants such a VM has no connection of most tenants. Where the configuration has tenants, all VMs are now gateways only if each may hold 16 connections; otherwise the number follows slots and zones as on large installations, with at least one gateway in each zone with an upstream.

The new test fails without the change.

--- a/packages/session/src/cluster/gatewayAssignment.test.ts
+++ b/packages/session/src/cluster/gatewayAssignment.test.ts
@@ -3,6 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { MemberEntry } from "../model/memberEntry";
+import { TenantDirectory } from "../model/tenantDirectory";
 import { ClusterState } from "./clusterState";
 
 const service = "orders";
@@ -109,3 +110,16 @@
     assert.equal(cluster.gateways.list(service).some(member => member.id === "vm-3"), false);
     assert.equal(cluster.gateways.list(service).length, 6);
 });
+
+// Guards against VMs that each open connections for all tenants, and against a change of installations without tenants.
+test("with tenants few VMs are gateways unless each may hold many connections, and every zone with an upstream has one", () => {
+    for (const [count, maxConnections, withoutTenants, limit] of [[90, 56, 3, 16], [20, 56, 20, 16], [3, 56, 3, 16], [3, 8, 3, 2]] as const) {
+        const members = createMembers(count);
+        const cluster = createCluster(members, members[0]!, maxConnections, 4);
+        assert.equal(cluster.gateways.list(service).length, withoutTenants);
+        cluster.applyConfiguration({ ...cluster.configuration!, version: 2, tenants: TenantDirectory.create([]) });
+        const gateways = cluster.gateways.list(service);
+        assert.equal(cluster.gateways.getConnectionLimit(service), limit);
+        assert.deepEqual(gateways.map(member => member.zone).sort(), zones.slice(0, 3));
+    }
+});
--- a/packages/session/src/cluster/gatewayAssignment.ts
+++ b/packages/session/src/cluster/gatewayAssignment.ts
@@ -6,6 +6,11 @@
 const sharedFraction = 0.9;
 /** With fewer connections than this, one open transaction would block all other work of the VM at the upstream. */
 const minConnectionsPerVm = 2;
+/**
+ * With tenants, all VMs are gateways only if each may hold this many connections to each upstream. With fewer, VMs that serve all
+ * tenants close connections of one tenant for another's at most operations.
+ */
+const minConnectionsPerVmWithTenants = 16;
 /** Minimum number of connections of a gateway to each upstream when not every VM is a gateway. */
 const minConnectionsPerGateway = 4;
 const minGateways = 2;
@@ -30,6 +35,8 @@
     readonly zones: readonly string[];
     /** Slots of all upstreams of the service. */
     readonly slots: number;
+    /** Whether each connection belongs to one of several tenants. */
+    readonly hasTenants: boolean;
 }
 
 /**
@@ -90,6 +97,7 @@
             maxConnections: this.cluster.configuration?.services.get(service)?.maxConnections ?? unknownConnectionLimit,
             zones: [...new Set(upstreams.map(upstream => upstream.zone))].sort(),
             slots: upstreams.reduce((sum, upstream) => sum + upstream.slots, 0),
+            hasTenants: this.cluster.configuration?.tenants !== undefined,
         };
     }
 
@@ -102,10 +110,12 @@
         return { members, connectionsPerVm, basis };
     }
 
-    private countGateways({ slots, zones }: AssignmentBasis, limit: number, memberCount: number): number {
-        if (Math.floor(limit / memberCount) >= minConnectionsPerVm) return memberCount;
+    private countGateways({ slots, zones, hasTenants }: AssignmentBasis, limit: number, memberCount: number): number {
+        const neededPerVm = hasTenants ? minConnectionsPerVmWithTenants : minConnectionsPerVm;
+        if (Math.floor(limit / memberCount) >= neededPerVm) return memberCount;
         const wanted = Math.max(minGateways, zones.length, Math.ceil(slots / slotsPerGateway));
-        return Math.max(minGateways, Math.min(wanted, Math.floor(limit / minConnectionsPerGateway)));
+        const least = hasTenants ? Math.max(minGateways, Math.min(zones.length, Math.floor(limit / minConnectionsPerVm))) : minGateways;
+        return Math.max(least, Math.min(wanted, Math.floor(limit / minConnectionsPerGateway)));
     }
 
     /** Orders VMs by preference: the best one of each zone with an upstream first. */
@@ -120,5 +130,6 @@
     return first.memberGeneration === second.memberGeneration
         && first.maxConnections === second.maxConnections
         && first.zones.join() === second.zones.join()
-        && first.slots === second.slots;
+        && first.slots === second.slots
+        && first.hasTenants === second.hasTenants;
 }
