--- a/packages/session/src/upstream/upstreamConnection.ts
+++ b/packages/session/src/upstream/upstreamConnection.ts
@@ -13,15 +13,18 @@
 /** A pooled connection, which tracks the session values and prepared statements that it currently has at the upstream. */
 export class UpstreamConnection {
     public idleSince = 0;
+    /** Number of times that it was handed to work of its tenant while other work had waited for longer. */
+    public passedOverCount = 0;
     private readonly values = new Map<string, string>();
     /** Names of the prepared statements at the upstream, by their definitions. */
     private readonly preparedNames = new Map<string, string>();
     private preparedCount = 0;
 
-    private constructor(public readonly link: UpstreamLink) {}
+    private constructor(public readonly link: UpstreamLink, public readonly tenant: string | undefined) {}
 
-    public static create(link: UpstreamLink): UpstreamConnection {
-        return new UpstreamConnection(link);
+    /** `tenant` is the tenant to which the connection belongs; undefined if it belongs to none. */
+    public static create(link: UpstreamLink, tenant?: string): UpstreamConnection {
+        return new UpstreamConnection(link, tenant);
     }
 
     /** Returns the number of commands that are needed to give this connection the session's values. */
--- a/packages/session/src/upstream/waitQueue.ts
+++ b/packages/session/src/upstream/waitQueue.ts
@@ -1,18 +1,14 @@
-interface Waiter<T> {
-    readonly rank: number;
-    readonly order: number;
-    readonly wake: (value: T) => void;
-}
+import { ConnectionChoiceKind } from "./connectionChoiceKind";
+import { ConnectionWaiter } from "./connectionWaiter";
 
-/** A priority queue of waiters: ordered by rank, and first in, first out within a rank. */
-export class WaitQueue<T> {
-    private readonly waiters: Waiter<T>[] = [];
-    private order = 0;
+/** Waiters for connections: ordered by rank, and by the time since which they wait within a rank. */
+export class WaitQueue {
+    private readonly waiters: ConnectionWaiter[] = [];
 
     private constructor() {}
 
-    public static create<T>(): WaitQueue<T> {
-        return new WaitQueue<T>();
+    public static create(): WaitQueue {
+        return new WaitQueue();
     }
 
     public get size(): number {
@@ -20,21 +16,39 @@
     }
 
     /** Adds a waiter. The returned function removes it. */
-    public add(rank: number, wake: (value: T) => void): () => void {
-        const waiter: Waiter<T> = { rank, order: this.order++, wake };
+    public add(waiter: ConnectionWaiter): () => void {
         let index = this.waiters.length;
-        while (index > 0 && this.waiters[index - 1]!.rank > rank) index--;
+        while (index > 0 && this.precedes(waiter, this.waiters[index - 1]!)) index--;
         this.waiters.splice(index, 0, waiter);
-        return () => {
-            const at = this.waiters.indexOf(waiter);
-            if (at >= 0) this.waiters.splice(at, 1);
-        };
+        return () => this.remove(waiter);
+    }
+
+    /**
+     * Wakes the first waiter that can proceed, if there is one. If it would open a connection, a later waiter of its rank that can use
+     * an idle one is woken instead if `mayPassOver` is true. Returns whether that happened.
+     */
+    public wakeFirst(mayPassOver: boolean): boolean {
+        const able = this.listFirstOfOwners().filter(waiter => waiter.choose() !== ConnectionChoiceKind.Wait);
+        const first = able[0];
+        if (first === undefined) return false;
+        const isReuser = (waiter: ConnectionWaiter): boolean => waiter.rank === first.rank && waiter.choose() === ConnectionChoiceKind.Reuse;
+        const chosen = (mayPassOver ? able.find(isReuser) : undefined) ?? first;
+        this.remove(chosen);
+        chosen.wake();
+        return chosen !== first;
+    }
+
+    private listFirstOfOwners(): readonly ConnectionWaiter[] {
+        const owners = new Set<unknown>();
+        return this.waiters.filter(({ owner }) => owners.size < owners.add(owner).size);
+    }
+
+    private remove(waiter: ConnectionWaiter): void {
+        const index = this.waiters.indexOf(waiter);
+        if (index >= 0) this.waiters.splice(index, 1);
     }
 
-    /** Wakes the first waiter. Returns false if there is none. */
-    public wakeFirst(value: T): boolean {
-        const waiter = this.waiters.shift();
-        waiter?.wake(value);
-        return waiter !== undefined;
+    private precedes(first: ConnectionWaiter, second: ConnectionWaiter): boolean {
+        return first.rank < second.rank || (first.rank === second.rank && first.since < second.since);
     }
 }
