Pass a configuration with tenants to a VM that the store rejects

A VM that watches the store and is rejected by it learned of no version until the store served it again, and one that follows watchers needed the store for a configuration of more than 8 KB, which 87 tenants exceed. In an outage of 9 s for a third of the VMs a withdrawn key was served beyond 5 s. Ruled out: sending every configuration to all followers, because the watchers' links would carry it dozens of times. A VM of an older build closes a link on the new message.

--- a/packages/relay/src/changeFollower.ts
+++ b/packages/relay/src/changeFollower.ts
@@ -1,6 +1,9 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { race } from "@vanillarouter/base/race";
+import { sleep } from "@vanillarouter/base/sleep";
+import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { orderMembers } from "@vanillarouter/session/cluster/orderMembers";
 import { StoreWatchers } from "@vanillarouter/session/cluster/storeWatchers";
 import { MemberEntry } from "@vanillarouter/session/model/memberEntry";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
@@ -15,12 +18,17 @@
 /** After a request that returned no changes, the watcher is skipped for this time. */
 const avoidanceMs = 2_000;
 const maxAttempts = 2;
+/** Number of VMs that are asked for a configuration at once, and the time in which one of them has to send it. */
+const fetchWidth = 2;
+const fetchTimeoutMs = 800;
 
 type ChangesResponse = Extract<RelayResponse, { readonly kind: "changes"; }>;
 
 /** Gets the changes of the store from the VMs that watch it. */
 export class ChangeFollower {
     private readonly avoidedUntil = new Map<string, number>();
+    /** Number of VMs that have been asked for a configuration. */
+    private fetchCount = 0;
 
     private constructor(
         private readonly watchers: StoreWatchers,
@@ -59,6 +67,29 @@
         return undefined;
     }
 
+    /**
+     * Returns a configuration that is newer than the one at a position, from a VM that the store serves; undefined if none of those asked
+     * sends one. It answers a store that rejects some of the VMs: each call asks the next ones, so that others which are rejected too, or
+     * cut off, are passed over.
+     */
+    public *fetchConfiguration(after: StorePosition): Operation<StoreChange | undefined> {
+        const candidates = orderMembers(this.self.id, this.watchers.list().filter(({ id, relayAddress }) => id !== this.self.id && relayAddress !== undefined));
+        if (candidates.length === 0) return undefined;
+        const asked = Array.from({ length: Math.min(fetchWidth, candidates.length) }, () => candidates[this.fetchCount++ % candidates.length]!);
+        return yield* withTimeout(this.clock, fetchTimeoutMs, race(asked.map(watcher => this.fetchFrom(watcher, after))));
+    }
+
+    /** Asks one VM. Without a newer configuration it does not return within the time, because another VM that was asked may have one. */
+    private *fetchFrom(watcher: MemberEntry, after: StorePosition): Operation<StoreChange | undefined> {
+        const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
+        const { era, revision } = after;
+        const response = yield* link?.poll(fetchTimeoutMs, call => ({ kind: "configuration", call, era, after: revision })) ?? noResponse();
+        const change = response?.kind === "changes" && response.era === era ? response.changes[0] : undefined;
+        if (change !== undefined && change.revision > revision) return { key: change.key, text: change.text, revision: change.revision };
+        yield* sleep(this.clock, fetchTimeoutMs);
+        return undefined;
+    }
+
     /** Waits for the changes that a watcher has. Returns undefined if it cannot say, and then skips it for a while. */
     private *poll(watcher: MemberEntry, after: StorePosition): Operation<ChangesResponse | undefined> {
         const link = yield* this.gateways.getOrCreate(watcher).obtainLink();
--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -238,6 +238,19 @@
     assert.deepEqual(changes, { changes: [{ key: "k", text: "v", revision: 6 }], position });
 });
 
+// Guards against a withdrawn key that a VM serves while the store rejects it: others have the configuration without the key.
+test("a VM that the store rejects gets a newer configuration of any size from one of the others", async context => {
+    const bed = await startBed(context, 4);
+    const configuration = { key: "c", text: "x".repeat(RelayLimits.maxInlineTextLength + 1), revision: 9 };
+    bed.find("g3").configuration = configuration;
+    bed.find("g1").isSilent = true;
+    const follower = bed.createFollower(() => assert.fail("nothing is read from the store"));
+    const fetched = [];
+    for (let attempt = 0; attempt < 2; attempt++) fetched.push(await bed.run(follower.fetchConfiguration({ era: 1, revision: 8 })));
+    assert.deepEqual(fetched.filter(change => change !== undefined), [configuration]);
+    for (let attempt = 0; attempt < 2; attempt++) assert.equal(await bed.run(follower.fetchConfiguration({ era: 1, revision: 9 })), undefined);
+});
+
 // Guards against a message that stops a gateway: whatever arrives on one link, the other links are served.
 test("messages that no VM sends end at most their own link", async context => {
     const bed = await startBed(context, 1);
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -8,6 +8,8 @@
 import { CallerTransaction } from "@vanillarouter/session/model/callerTransaction";
 import { OperationExecutor } from "@vanillarouter/session/model/operationExecutor";
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
+import { StoreChange } from "@vanillarouter/session/model/storeChange";
+import { StorePosition } from "@vanillarouter/session/model/storePosition";
 import { ChangeLog } from "./changeLog";
 import { RelayLimits } from "./relayLimits";
 import { RelayRequest } from "./relayRequest";
@@ -16,6 +18,7 @@
 type RunRequest = Extract<RelayRequest, { readonly kind: "run"; }>;
 type TransactRequest = Extract<RelayRequest, { readonly kind: "transact"; }>;
 type FollowRequest = Extract<RelayRequest, { readonly kind: "follow"; }>;
+type ConfigurationRequest = Extract<RelayRequest, { readonly kind: "configuration"; }>;
 type RelayedOperation = RunRequest["operation"];
 
 interface HeldTransaction {
@@ -37,17 +40,19 @@
         private readonly executor: OperationExecutor,
         private readonly changeLog: ChangeLog,
         private readonly clock: Clock,
+        private readonly readNewerConfiguration: (after: StorePosition) => Operation<StoreChange | undefined>,
     ) {}
 
-    /** `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit. */
+    /** `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit. `readNewerConfiguration` reads the configuration from the store if this VM knows that it changed after a position. */
     public static create(
         cluster: ClusterState,
         declinesService: (service: string) => boolean,
         executor: OperationExecutor,
         changeLog: ChangeLog,
         clock: Clock,
+        readNewerConfiguration: (after: StorePosition) => Operation<StoreChange | undefined>,
     ): RelayRequestHandler {
-        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock);
+        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock, readNewerConfiguration);
     }
 
     /** Number of transactions that are open for the entry VM. */
@@ -92,6 +97,12 @@
         return { kind: "changes", call, changes, era, revision: latest.position.revision };
     }
 
+    /** Responds with the configuration, of any size, if it changed after the sender's. */
+    public *readConfiguration({ call, era, after }: ConfigurationRequest): Operation<RelayResponse> {
+        const change = yield* this.readNewerConfiguration({ era, revision: after });
+        return change === undefined ? { kind: "declined", call } : { kind: "changes", call, changes: [change], era, revision: after };
+    }
+
     /** Rolls back a transaction, after its statement if one is running. A transaction that has committed is not affected. */
     public rollBack(transaction: number): void {
         const held = this.transactions.get(transaction);
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -67,5 +67,7 @@
      * an era, because the revision may be one of a history that the store has lost.
      */
     z.object({ kind: z.literal("follow"), call: z.number(), era: z.number().optional(), after: z.number(), waitMs: z.number().max(maxWaitMs) }),
+    /** Asks for the configuration if it changed after a revision of an era. The sender is not served by the store. */
+    z.object({ kind: z.literal("configuration"), call: z.number(), era: z.number(), after: z.number() }),
     z.object({ kind: z.literal("ping") }),
 ]);
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -105,6 +105,9 @@
                 return;
             case "follow":
                 this.tasks.start(this.sendResponse(lineSocket, handler.follow(message)));
+                return;
+            case "configuration":
+                this.tasks.start(this.sendResponse(lineSocket, handler.readConfiguration(message)));
         }
     }
 
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -39,6 +39,8 @@
     isSilent: boolean;
     declines: boolean;
     readonly changeLog: ChangeLog;
+    /** The configuration that the gateway reads from the store. */
+    configuration: StoreChange | undefined;
 }
 
 /** A test fixture with one entry VM and several gateways on loopback, each behind a proxy that can drop bytes or close connections. */
@@ -126,7 +128,15 @@
             this.clock,
             this.tasks,
             this.log,
-            () => RelayRequestHandler.create(cluster, () => gateway.declines, executor, changeLog, this.clock),
+            () =>
+                RelayRequestHandler.create(
+                    cluster,
+                    () => gateway.declines,
+                    executor,
+                    changeLog,
+                    this.clock,
+                    ({ revision }) => readNewer(gateway.configuration, revision),
+                ),
         );
         const listener = server.createServer();
         const gateway: TestGateway = {
@@ -139,6 +149,7 @@
             isSilent: false,
             declines: false,
             changeLog,
+            configuration: undefined,
         };
         for (const opened of [listener, gateway.proxy]) await new Promise<void>(resolve => opened.listen(0, host, resolve));
         this.gateways.push(gateway);
@@ -156,6 +167,10 @@
     }
 }
 
+function* readNewer(configuration: StoreChange | undefined, revision: number): Operation<StoreChange | undefined> {
+    return configuration !== undefined && configuration.revision > revision ? configuration : undefined;
+}
+
 function getPort(server: Server): number {
     return (server.address() as AddressInfo).port;
 }
