Leave connections to single statements beside idle transactions

Callers may leave 90 to 120 transactions idle. Those of one tenant could hold its whole share, so that its own statements were refused, and those of many tenants all connections of the primary. Transactions of a tenant now hold at most three quarters of its share, and all together three quarters of the pool. The rest is for single statements. Pools without tenants are as before.

--- a/packages/session/src/entry/openTransaction.test.ts
+++ b/packages/session/src/entry/openTransaction.test.ts
@@ -5,6 +5,7 @@
 import { Freshness } from "../model/freshness";
 import { StatementKind } from "../model/statementKind";
 import { TestBed } from "../testing/testBed";
+import { CallerRequest } from "./callerRequest";
 import { OpenTransaction } from "./openTransaction";
 
 function createTransaction(bed: TestBed): OpenTransaction {
@@ -115,3 +116,20 @@
     assert.equal(bed.run(transaction.runStatement(statement)).error, ErrorKind.Aborted);
     assert.deepEqual(bed.fakeGroup.servers.flatMap(server => server.executedIds), []);
 });
+
+// Guards against transactions that count as single statements: idle ones of a tenant would refuse its statements.
+test("idle transactions of a tenant leave its single statements connections", () => {
+    const bed = TestBed.create();
+    bed.useTenants(["a"], 16);
+    bed.group.primaryTracker.recordPrimary("u1", 1);
+    const createTenantRequest = (): CallerRequest => ({ ...bed.createRequest(Freshness.Latest, false), tenant: "a" });
+    const transactions = Array.from({ length: 20 }, () => OpenTransaction.create(bed.context, bed.group, createTenantRequest()));
+    const begun = transactions.map((transaction, index) =>
+        Task.start(transaction.runStatement(bed.createStatement(`s${index}`, StatementKind.Write, "WRITE a 1")))
+    );
+    for (let elapsedMs = 0; elapsedMs < 2_000; elapsedMs++) bed.clock.advance(1);
+    assert.ok(begun.every(task => task.isSettled));
+    assert.ok(bed.fakeGroup.find("u1").sessions.size >= 4);
+    const statement = bed.createStatement("w", StatementKind.Write, "WRITE a 2");
+    assert.equal(bed.run(bed.runner.run(bed.group, createTenantRequest(), statement)).error, undefined);
+});
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -204,7 +204,8 @@
 
     private *beginAt(target: Target, waitDeadline: number, deadline: number): Operation<boolean> {
         const { session, workClass, tenant, receivedAt } = this.req;
-        const slotRequest = { session, workClass, tenant, receivedAt, deadline: this.context.targets.chooseSlotDeadline(this.req, waitDeadline), waitDeadline };
+        const deadlines = { receivedAt, deadline: this.context.targets.chooseSlotDeadline(this.req, waitDeadline), waitDeadline };
+        const slotRequest = { session, workClass, tenant, opensTransaction: true, ...deadlines };
         const ran = yield* target.pool.run(slotRequest, connection => this.sendBegin(target, connection, deadline));
         if (ran.err) {
             if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) this.group.primaryTracker.suspect(`dial failed: ${ran.val}`);
--- a/packages/session/src/upstream/connectionChooser.ts
+++ b/packages/session/src/upstream/connectionChooser.ts
@@ -4,6 +4,7 @@
 import { IdleConnections } from "./idleConnections";
 import { PoolLimits } from "./poolLimits";
 import { TenantDemand } from "./tenantDemand";
+import { TransactionCounts } from "./transactionCounts";
 import { UpstreamConnection } from "./upstreamConnection";
 
 /** Up to this many idle connections without a tenant are kept, however many connections are open. */
@@ -14,29 +15,38 @@
 const minLimitWithReserve = 4;
 /** Part of a pool's connections that one tenant may hold in statements and transactions. */
 const maxTenantFraction = 0.5;
+/** Part of a pool's connections, and of a tenant's share of them, that transactions may hold. The rest is left to single statements. */
+const maxTransactionFraction = 0.75;
 
 /**
  * Decides whether an operation of a tenant reuses a connection, opens one, for which another one may have to be closed, or waits.
  *
  * It answers many tenants of very unequal size in front of few connections, of which each belongs to one tenant: the connection
- * that its tenant needs least often is closed. It also answers a tenant with many idle transactions, which gets half of the
- * connections.
+ * that its tenant needs least often is closed. It also answers many idle transactions: those of one tenant leave more than half of the
+ * connections to others, and all together leave a quarter to single statements.
  */
 export class ConnectionChooser {
     private constructor(
         private readonly counts: ConnectionCounts,
+        private readonly transactions: TransactionCounts,
         private readonly idle: IdleConnections,
         private readonly demand: TenantDemand,
         private readonly limits: PoolLimits,
     ) {}
 
-    public static create(counts: ConnectionCounts, idle: IdleConnections, demand: TenantDemand, limits: PoolLimits): ConnectionChooser {
-        return new ConnectionChooser(counts, idle, demand, limits);
+    public static create(
+        counts: ConnectionCounts,
+        transactions: TransactionCounts,
+        idle: IdleConnections,
+        demand: TenantDemand,
+        limits: PoolLimits,
+    ): ConnectionChooser {
+        return new ConnectionChooser(counts, transactions, idle, demand, limits);
     }
 
     /** Chooses for a tenant, or for callers without one. `mayOpen` is false while no connection may be opened because of a failure. */
-    public choose(tenant: string | undefined, mayOpen: boolean, now: number): ConnectionChoice {
-        if (this.isAtShare(tenant)) return { kind: ConnectionChoiceKind.Wait };
+    public choose(tenant: string | undefined, opensTransaction: boolean, mayOpen: boolean, now: number): ConnectionChoice {
+        if (this.isAtShare(tenant, opensTransaction)) return { kind: ConnectionChoiceKind.Wait };
         if (this.idle.count(tenant) > 0) return { kind: ConnectionChoiceKind.Reuse };
         if (!mayOpen) return { kind: ConnectionChoiceKind.Wait };
         if (this.hasRoom(tenant)) return { kind: ConnectionChoiceKind.Open };
@@ -69,9 +79,17 @@
         return this.counts.get(tenant) - this.idle.count(tenant);
     }
 
-    private isAtShare(tenant: string | undefined): boolean {
+    private isAtShare(tenant: string | undefined, opensTransaction: boolean): boolean {
         if (tenant === undefined && !this.limits.hasTenants()) return false;
-        return this.countHeld(tenant) >= Math.max(1, Math.floor(this.limits.getConnectionLimit() * maxTenantFraction));
+        const limit = this.limits.getConnectionLimit();
+        const share = Math.max(1, Math.floor(limit * maxTenantFraction));
+        if (this.countHeld(tenant) >= share) return true;
+        return opensTransaction
+            && (this.isAtTransactionShare(this.transactions.get(tenant), share) || this.isAtTransactionShare(this.transactions.total, limit));
+    }
+
+    private isAtTransactionShare(transactions: number, connections: number): boolean {
+        return transactions >= Math.max(1, Math.floor(connections * maxTransactionFraction));
     }
 
     private hasRoom(tenant: string | undefined): boolean {
--- a/packages/session/src/upstream/poolConnections.ts
+++ b/packages/session/src/upstream/poolConnections.ts
@@ -1,6 +1,5 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
-import { perform } from "@vanillarouter/base/perform";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Ok, Result } from "ts-results";
 import { ErrorKind } from "../model/errorKind";
@@ -12,10 +11,12 @@
 import { ConnectionObserver } from "./connectionObserver";
 import { ConnectionOpener } from "./connectionOpener";
 import { ConnectionReporter } from "./connectionReporter";
+import { estimateConnectionCostMs } from "./estimateConnectionCostMs";
 import { IdleConnections } from "./idleConnections";
 import { PoolLimits } from "./poolLimits";
 import { SlotRequest } from "./slotRequest";
 import { TenantDemand } from "./tenantDemand";
+import { TransactionCounts } from "./transactionCounts";
 import { UpstreamConnection } from "./upstreamConnection";
 import { WaitQueue } from "./waitQueue";
 
@@ -25,16 +26,13 @@
 const maxPassedOver = 8;
 /** Rank of status and fencing commands, before all classes of work. */
 const controlRank = -1;
-/** Slot time of the upstream that opening a connection takes. */
-const openingCostMs = 12;
-/** Expected wait for a connection when all are in use: a few statements, or the rest of a transaction. */
-const waitingCostMs = 60;
 
 /** The connections of one pool: those in use, the idle ones, and the work that waits for one. */
 export class PoolConnections {
     private readonly open = new Set<UpstreamConnection>();
     private readonly idle = IdleConnections.create();
     private readonly counts = ConnectionCounts.create();
+    private readonly transactions = TransactionCounts.create();
     private readonly demand = TenantDemand.create();
     private readonly queue = WaitQueue.create();
     private readonly chooser: ConnectionChooser;
@@ -49,7 +47,7 @@
         private readonly observer: ConnectionObserver,
     ) {
         this.opener = ConnectionOpener.create(clock, dialer, reporter);
-        this.chooser = ConnectionChooser.create(this.counts, this.idle, this.demand, limits);
+        this.chooser = ConnectionChooser.create(this.counts, this.transactions, this.idle, this.demand, limits);
     }
 
     public static create(
@@ -75,9 +73,7 @@
     /** Returns the expected cost of a connection for a tenant in milliseconds; 0 in an installation without tenants. */
     public computeCostMs(tenant: string | undefined): number {
         if (tenant === undefined && !this.limits.hasTenants()) return 0;
-        const { kind } = this.choose(tenant);
-        if (kind === ConnectionChoiceKind.Reuse) return 0;
-        return kind === ConnectionChoiceKind.Open ? openingCostMs : openingCostMs + waitingCostMs;
+        return estimateConnectionCostMs(this.choose(tenant).kind);
     }
 
     /**
@@ -86,12 +82,12 @@
      */
     public *obtain(request: SlotRequest, mayWait: boolean): Operation<Result<UpstreamConnection, ErrorKind> | undefined> {
         for (;;) {
-            const choice = this.choose(request.tenant);
+            const choice = this.choose(request.tenant, request.opensTransaction);
             if (choice.kind === ConnectionChoiceKind.Reuse) return Ok(this.take(request));
             const now = this.clock.now();
             if (this.isClosed || now >= request.waitDeadline) return Err(ErrorKind.Busy);
             if (choice.kind === ConnectionChoiceKind.Open) {
-                const dialed = yield* this.dial(request.tenant, choice.evicted);
+                const dialed = yield* this.dial(request.tenant, choice.evicted, request.opensTransaction);
                 if (dialed.ok) this.recordDemand(request.tenant);
                 if (dialed.ok || dialed.val !== ErrorKind.TooManyConnections) return dialed;
                 const evicted = this.chooser.findEvictable(request.tenant, this.clock.now());
@@ -112,7 +108,7 @@
         const deadline = Math.min(request.deadline, request.waitDeadline);
         for (let hasWaited = false;; hasWaited = true) {
             const now = this.clock.now();
-            const { kind } = this.choose(request.tenant);
+            const { kind } = this.choose(request.tenant, request.opensTransaction);
             if (kind === ConnectionChoiceKind.Reuse && hasWaited) return Ok(this.take(request));
             if (kind !== ConnectionChoiceKind.Wait) return Ok(undefined);
             if (this.isClosed || now >= deadline) return Err(ErrorKind.Busy);
@@ -130,7 +126,7 @@
             if (dialed.ok) return dialed.val;
             if (dialed.val !== ErrorKind.TooManyConnections || this.counts.ofTenants === 0) return undefined;
             const choose = (): ConnectionChoiceKind => this.idle.all.length > 0 ? ConnectionChoiceKind.Reuse : ConnectionChoiceKind.Wait;
-            yield* withTimeout(this.clock, recheckIntervalMs, this.waitInQueue(controlRank, this.clock.now(), choose, choose));
+            yield* withTimeout(this.clock, recheckIntervalMs, this.queue.wait({ rank: controlRank, since: this.clock.now(), owner: choose, choose }));
         }
     }
 
@@ -140,6 +136,7 @@
             this.discard(connection);
             return;
         }
+        this.transactions.end(connection);
         connection.idleSince = this.clock.now();
         this.idle.add(connection);
         this.closeExcessWithoutTenant();
@@ -150,6 +147,7 @@
     /** Closes a connection and removes it. */
     public discard(connection: UpstreamConnection): void {
         this.idle.remove(connection);
+        this.transactions.end(connection);
         if (this.open.delete(connection)) this.counts.remove(connection.tenant);
         connection.link.close();
         this.queue.wakeFirst(true);
@@ -171,13 +169,15 @@
         this.demand.removeUnused(this.clock.now());
     }
 
-    private choose(tenant: string | undefined): ConnectionChoice {
-        return this.chooser.choose(tenant, !this.opener.isBlocked, this.clock.now());
+    private choose(tenant: string | undefined, opensTransaction = false): ConnectionChoice {
+        return this.chooser.choose(tenant, opensTransaction, !this.opener.isBlocked, this.clock.now());
     }
 
     /** Takes the idle connection that `choose` found. */
-    private take({ tenant, session }: SlotRequest): UpstreamConnection {
+    private take({ tenant, session, opensTransaction }: SlotRequest): UpstreamConnection {
         const connection = this.idle.take(tenant, session)!;
+        if (opensTransaction === true) this.transactions.begin(tenant);
+        if (opensTransaction === true) this.transactions.assign(tenant, connection);
         this.recordDemand(tenant);
         return connection;
     }
@@ -187,19 +187,17 @@
     }
 
     private *wait(request: SlotRequest, since: number, maxWaitMs: number): Operation<void> {
-        const choose = (): ConnectionChoiceKind => this.isClosed || this.isUnavailable ? ConnectionChoiceKind.Open : this.choose(request.tenant).kind;
+        const choose = (): ConnectionChoiceKind =>
+            this.isClosed || this.isUnavailable ? ConnectionChoiceKind.Open : this.choose(request.tenant, request.opensTransaction).kind;
         const waitMs = Math.max(1, Math.min(maxWaitMs, recheckIntervalMs));
-        yield* withTimeout(this.clock, waitMs, this.waitInQueue(request.workClass.rank, since, request.tenant, choose));
-    }
-
-    private *waitInQueue(rank: number, since: number, owner: unknown, choose: () => ConnectionChoiceKind): Operation<true> {
-        yield* perform<void>({ start: wake => this.queue.add({ rank, since, owner, choose, wake }) });
-        return true;
+        const owner = `${request.tenant ?? ""} ${request.opensTransaction === true}`;
+        yield* withTimeout(this.clock, waitMs, this.queue.wait({ rank: request.workClass.rank, since, owner, choose }));
     }
 
     /** Opens a connection. One that makes room for it is closed after the new one counts, so that no other work takes the place. */
-    private *dial(tenant: string | undefined, evicted?: UpstreamConnection): Operation<Result<UpstreamConnection, ErrorKind>> {
+    private *dial(tenant: string | undefined, evicted?: UpstreamConnection, opensTransaction = false): Operation<Result<UpstreamConnection, ErrorKind>> {
         this.counts.add(tenant);
+        if (opensTransaction) this.transactions.begin(tenant);
         let connection: UpstreamConnection | undefined;
         try {
             if (evicted !== undefined) this.evict(evicted, tenant);
@@ -215,6 +213,7 @@
         }
         finally {
             if (connection === undefined) this.counts.remove(tenant);
+            if (opensTransaction) this.transactions.assign(tenant, connection);
         }
     }
 
--- a/packages/session/src/upstream/slotRequest.ts
+++ b/packages/session/src/upstream/slotRequest.ts
@@ -7,6 +7,8 @@
     readonly workClass: WorkClass;
     /** Tenant whose connection is needed; undefined if the caller is not authenticated. */
     readonly tenant?: string;
+    /** Whether the connection is kept for a transaction. */
+    readonly opensTransaction?: boolean;
     /** Local time in milliseconds at which the statement was received. */
     readonly receivedAt: number;
     /** Local time in milliseconds by which the response is due. A statement that would get its slot too late for it is refused at once. */
--- a/packages/session/src/upstream/waitQueue.ts
+++ b/packages/session/src/upstream/waitQueue.ts
@@ -1,3 +1,5 @@
+import { Operation } from "@vanillarouter/base/operation";
+import { perform } from "@vanillarouter/base/perform";
 import { ConnectionChoiceKind } from "./connectionChoiceKind";
 import { ConnectionWaiter } from "./connectionWaiter";
 
@@ -15,6 +17,12 @@
         return this.waiters.length;
     }
 
+    /** Waits until the waiter is woken. Returns true. */
+    public *wait(waiter: Omit<ConnectionWaiter, "wake">): Operation<true> {
+        yield* perform<void>({ start: wake => this.add({ ...waiter, wake }) });
+        return true;
+    }
+
     /** Adds a waiter. The returned function removes it. */
     public add(waiter: ConnectionWaiter): () => void {
         let index = this.waiters.length;
