--- a/packages/session/src/upstream/poolConnections.ts
+++ b/packages/session/src/upstream/poolConnections.ts
@@ -176,8 +176,7 @@
     /** Takes the idle connection that `choose` found. */
     private take({ tenant, session, opensTransaction }: SlotRequest): UpstreamConnection {
         const connection = this.idle.take(tenant, session)!;
-        if (opensTransaction === true) this.transactions.begin(tenant);
-        if (opensTransaction === true) this.transactions.assign(tenant, connection);
+        if (opensTransaction === true) this.transactions.begin(tenant, connection);
         this.recordDemand(tenant);
         return connection;
     }
@@ -230,6 +229,7 @@
         this.observer.onEvicted(this.reporter.upstream, evicted.tenant, tenant);
     }
 
+    /** Leaves connections without a tenant to other VMs. Those of tenants are kept, because opening one costs the upstream slot time. */
     private closeExcessWithoutTenant(): void {
         if (this.queue.size > 0) return;
         const openCount = [...this.open].filter(connection => connection.tenant === undefined).length;
--- a/packages/session/src/upstream/transactionCounts.ts
+++ b/packages/session/src/upstream/transactionCounts.ts
@@ -20,12 +20,13 @@
         return this.counts.get(tenant);
     }
 
-    /** Counts a transaction for which a connection is being opened. */
-    public begin(tenant: string | undefined): void {
+    /** Counts a transaction. `connection` is undefined while one is being opened for it. */
+    public begin(tenant: string | undefined, connection?: UpstreamConnection): void {
         this.counts.add(tenant);
+        if (connection !== undefined) this.connections.add(connection);
     }
 
-    /** Records the connection of a transaction that `begin` counted; undefined if none could be opened. */
+    /** Records the connection that was opened for a transaction; undefined if none could be opened. */
     public assign(tenant: string | undefined, connection: UpstreamConnection | undefined): void {
         if (connection !== undefined) this.connections.add(connection);
         else this.counts.remove(tenant);
