--- /dev/null
+++ b/packages/scheduling/src/failureHistory.ts
@@ -0,0 +1,62 @@
+/** Time in which the effect of a failure halves. */
+const halfLifeMs = 1_000;
+/** More failures than this cost no more, so that a long outage does not keep an upstream out of use after its end. */
+const maxRecentFailures = 8;
+/** Time in which an upstream that responds again gets back to its full share of work. */
+const recoveryMs = 2_000;
+/** Fraction of its slots with which an upstream starts when it responds again. */
+const initialReadiness = 0.1;
+/** Consecutive lost responses after which an upstream counts as out of reach. A single lost response is no outage. */
+const outageFailures = 2;
+
+/**
+ * Recent failures of an upstream and its return from an outage.
+ *
+ * It answers two load patterns: an upstream that fails a part of its requests although others succeed in between, and one that comes back
+ * after an outage and would get all new work at once, while connections to it still have to be opened.
+ */
+export class FailureHistory {
+    private level = 0;
+    private updatedAt = 0;
+    private lostResponses = 0;
+    private returnedAt = Number.NEGATIVE_INFINITY;
+
+    private constructor() {}
+
+    public static create(): FailureHistory {
+        return new FailureHistory();
+    }
+
+    /** Records a command or dial without a response. */
+    public recordLostResponse(now: number): void {
+        this.recordError(now);
+        this.lostResponses++;
+    }
+
+    /** Records a response that says that the upstream failed the command. */
+    public recordError(now: number): void {
+        this.level = Math.min(maxRecentFailures, this.computeRecentFailures(now) + 1);
+        this.updatedAt = now;
+    }
+
+    public recordResponse(now: number): void {
+        if (this.lostResponses >= outageFailures) this.recordReturn(now);
+        this.lostResponses = 0;
+    }
+
+    /** Records that the upstream is in use again after an outage. */
+    public recordReturn(now: number): void {
+        this.returnedAt = now;
+    }
+
+    /** Returns the number of failures, each discounted by its age. */
+    public computeRecentFailures(now: number): number {
+        return this.level * 0.5 ** ((now - this.updatedAt) / halfLifeMs);
+    }
+
+    /** Returns the fraction of the upstream's slots that new work may count on, which rises from `initialReadiness` to 1 after an outage. */
+    public computeReadiness(now: number): number {
+        if (this.lostResponses >= outageFailures) return initialReadiness;
+        return Math.min(1, initialReadiness + (1 - initialReadiness) * (now - this.returnedAt) / recoveryMs);
+    }
+}
