Spread reads by the load that all VMs are expected to cause, where the settings ask for it

Cause: the choice of a read's upstream sees this VM's own statements only. An upstream that fails part of its requests costs nothing as long as others succeed in between, and one that comes back after an outage or a restart gets its full share at once.

Change: the setting load.usesExpectedLoad selects ExpectedCostChooser; without it the rule is the one before. Statuses that pass anyway feed OthersLoad (UpstreamSlots.recordBusySlots), lost responses, error responses and restarts feed FailureHistory of each pool.

Result: the three new tests in statementRunner.test.ts pass. The failing-upstream test fails without recordError, the restart test without recordReturn, the status test without the observation.

--- a/packages/session/src/entry/describeTarget.ts
+++ b/packages/session/src/entry/describeTarget.ts
@@ -1,3 +1,4 @@
+import { describeChoice } from "./describeChoice";
 import { Target } from "./target";
 
 /** Returns the log fields for the upstream that ran an operation and for the evidence that it was fresh enough at `startedAt`. */
@@ -9,5 +10,6 @@
         floor: target.floor === undefined ? undefined : `${target.floor.term}.${target.floor.position}`,
         floorAgeMs: target.floorCoversUntil === undefined ? undefined : Math.round(startedAt - target.floorCoversUntil),
         proofAgeMs: target.verifiedAt === undefined ? undefined : Math.round(startedAt - target.verifiedAt.at),
+        ...(target.choice === undefined ? {} : describeChoice(target.choice)),
     };
 }
--- a/packages/session/src/entry/statementRunner.test.ts
+++ b/packages/session/src/entry/statementRunner.test.ts
@@ -1,4 +1,5 @@
 import { compareLogPositions } from "@vanillarouter/base/compareLogPositions";
+import { SeededRandom } from "@vanillarouter/base/seededRandom";
 import { Task } from "@vanillarouter/base/task";
 import assert from "node:assert/strict";
 import { test } from "node:test";
@@ -8,6 +9,8 @@
 import { StatementKind } from "../model/statementKind";
 import { TestBed } from "../testing/testBed";
 import { OpenTransaction } from "./openTransaction";
+import { StatementRunner } from "./statementRunner";
+import { TargetFinder } from "./targetFinder";
 
 function createBed(): TestBed {
     const bed = TestBed.create();
@@ -153,3 +156,51 @@
         );
     }
 });
+
+/** Runs reads one after another with the choice by expected load, and returns the ids of the upstreams that served them. */
+function readByExpectedLoad(bed: TestBed, prefix: string, count: number): readonly string[] {
+    const targets = TargetFinder.create(bed.clock, "zone-1", SeededRandom.create(1), true);
+    const runner = StatementRunner.create({ ...bed.context, targets });
+    return Array.from({ length: count }, (_, index) => {
+        const read = bed.createStatement(`${prefix}${index}`, StatementKind.Read, "READ a");
+        const outcome = bed.run(runner.run(bed.group, bed.createRequest(Freshness.BoundedAge, true), read));
+        return outcome.receipt?.split("/")[0] ?? outcome.error!;
+    });
+}
+
+// Guards against reads on the primary while replicas have room, and against an upstream that fails reads although its status is good.
+test("with expected loads replicas serve the reads, and one that fails them is left until its failures have faded", () => {
+    const bed = createBed();
+    const count = (served: readonly string[], id: string): number => served.filter(other => other === id).length;
+    const calm = readByExpectedLoad(bed, "a", 40);
+    assert.equal(count(calm, "u1"), 0);
+    assert.ok(count(calm, "u2") >= 10 && count(calm, "u3") >= 10, String(calm));
+    bed.fakeGroup.find("u2").nextErrors = [ErrorKind.Failed];
+    readByExpectedLoad(bed, "b", 10);
+    const failing = readByExpectedLoad(bed, "c", 20);
+    assert.equal(count(failing, "u2"), 0, String(failing));
+    bed.clock.advance(10_000);
+    assert.ok(count(readByExpectedLoad(bed, "d", 40), "u2") >= 10);
+});
+
+// Guards against a status that nobody uses: other VMs' load on an upstream does not show in this VM's own statements.
+test("a status that passes changes the choice for a moment", () => {
+    const bed = createBed();
+    const [, second, third] = bed.group.pools.list("orders");
+    second!.slots.recordBusySlots(2);
+    assert.deepEqual([second!.slots.expectedOthersBusy, second!.slots.newsAgeMs, third!.slots.expectedOthersBusy], [0.5, 0, 0]);
+    bed.clock.advance(1_000);
+    assert.ok(second!.slots.expectedOthersBusy < 0.01);
+});
+
+// Guards against an upstream that gets its full share of reads at once after it was restarted, when no connection to it is open.
+test("an upstream that was restarted under its id gets work gradually", () => {
+    const bed = createBed();
+    readByExpectedLoad(bed, "a", 1);
+    const { upstream } = bed.pools.find("u2")!;
+    bed.cluster.putUpstream({ ...upstream, startedAtMs: 2 });
+    assert.ok(bed.pools.find("u2")!.failures.computeReadiness(bed.clock.now()) <= 0.1);
+    assert.ok(!readByExpectedLoad(bed, "b", 20).includes("u2"));
+    bed.clock.advance(3_000);
+    assert.ok(readByExpectedLoad(bed, "c", 40).filter(id => id === "u2").length >= 10);
+});
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -30,6 +30,8 @@
 const slowUpstreamTimeoutFactor = 4;
 /** Response time that is recorded for a `Busy` error, so that reads avoid the upstream. */
 const busyResponseTimeMs = 500;
+/** Errors by which an upstream failed a statement that it could have run. */
+const upstreamFaults: ReadonlySet<ErrorKind> = new Set([ErrorKind.Failed, ErrorKind.TimedOut, ErrorKind.Other]);
 /** A primary that takes longer than this to respond is suspected to have failed. */
 const slowPrimaryMs = 250;
 
@@ -233,6 +235,7 @@
         target.pool.recordResponse(response.applied);
         target.pool.responseTimes.add(response.error === ErrorKind.Busy ? busyResponseTimeMs : this.context.clock.now() - sentAt.at);
         if (response.error !== undefined) {
+            if (upstreamFaults.has(response.error)) target.pool.failures.recordError(this.context.clock.now());
             if (response.error === ErrorKind.ReadOnly) group.primaryTracker.suspect("the primary rejected a write as read-only");
             return createFailedOutcome(response.error, Diagnostics.upstreamFailed, response.errorText);
         }
--- a/packages/session/src/entry/target.ts
+++ b/packages/session/src/entry/target.ts
@@ -1,6 +1,7 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { ClockReading } from "../freshness/clockReading";
 import { UpstreamPool } from "../upstream/upstreamPool";
+import { ReadCandidate } from "./readCandidate";
 
 /** An upstream that may run an operation, and the evidence that it is fresh enough. */
 export interface Target {
@@ -13,4 +14,6 @@
     readonly floorCoversUntil: number | undefined;
     /** The primary is verified to have every commit acknowledged before this moment. Undefined without a verification. */
     readonly verifiedAt: ClockReading | undefined;
+    /** What the choice among the upstreams that may serve a read was based on. Undefined if only one upstream may serve the operation. */
+    readonly choice?: ReadCandidate;
 }
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -6,11 +6,15 @@
 import { sleep } from "@vanillarouter/base/sleep";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { computeRetryDelayMs } from "@vanillarouter/scheduling/computeRetryDelayMs";
+import { ExpectedCostChooser } from "@vanillarouter/scheduling/expectedCostChooser";
+import { SmallestCostChooser } from "@vanillarouter/scheduling/smallestCostChooser";
+import { UpstreamChooser } from "@vanillarouter/scheduling/upstreamChooser";
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { PositionSample } from "../freshness/positionSample";
 import { Freshness } from "../model/freshness";
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { CallerRequest } from "./callerRequest";
+import { ReadCandidate } from "./readCandidate";
 import { Target } from "./target";
 
 /** Upper bound, with a margin, for the time between a read's first byte on the network and its arrival in this process. */
@@ -22,17 +26,25 @@
 const otherZonePenalty = 0.15;
 /** Cost added to the primary, to keep it free for work that only it can do unless the replicas are busier by this much load per slot. */
 const primaryPenalty = 0.6;
-/** Response time that costs as much as having all the upstream's slots in use by this VM. */
-const fullLoadResponseMs = 150;
-/** Range of the random cost that keeps VMs with the same information from all choosing the same upstream. */
-const randomCostRange = 0.1;
+/** Cost added to replicas that are known to lag behind the floor. */
+const laggingPenalty = 1;
+/** Tiers of upstreams that serve reads only if no other one can. They add up. */
+const leavingTier = 4;
+const triedTier = 2;
+const unavailableTier = 1;
 
 /** Selects the upstream for an operation, with the evidence that it is fresh enough. */
 export class TargetFinder {
-    private constructor(private readonly clock: Clock, private readonly zone: string, private readonly random: RandomSource) {}
+    private constructor(
+        private readonly clock: Clock,
+        private readonly zone: string,
+        private readonly random: RandomSource,
+        private readonly chooser: UpstreamChooser,
+    ) {}
 
-    public static create(clock: Clock, zone: string, random: RandomSource): TargetFinder {
-        return new TargetFinder(clock, zone, random);
+    /** `usesExpectedLoad` spreads reads by the load that all VMs are expected to cause at an upstream, instead of by this VM's own. */
+    public static create(clock: Clock, zone: string, random: RandomSource, usesExpectedLoad = false): TargetFinder {
+        return new TargetFinder(clock, zone, random, usesExpectedLoad ? ExpectedCostChooser.create(random) : SmallestCostChooser.create(random));
     }
 
     /**
@@ -48,9 +60,11 @@
         const floor = this.selectHigherPosition(sample.position, req.floors.find(req.workClass.service));
         const evidence = { floor, floorCoversUntil: sample.coversUntil, verifiedAt: undefined };
         if (mayUseReplica) {
-            const pool = this.chooseReadPool(group, floor, triedUpstreamIds);
-            const isPrimary = pool?.upstream.id === group.primaryTracker.primary?.id;
-            return pool === undefined ? undefined : { pool, primaryTerm: isPrimary ? group.primaryTracker.primary?.term : undefined, ...evidence };
+            const choice = this.chooser.choose(this.listReadCandidates(group, floor, triedUpstreamIds));
+            const isPrimary = choice?.id === group.primaryTracker.primary?.id;
+            return choice === undefined
+                ? undefined
+                : { pool: choice.pool, primaryTerm: isPrimary ? group.primaryTracker.primary?.term : undefined, choice, ...evidence };
         }
         const primary = yield* this.waitForPrimary(group, waitDeadline);
         return primary === undefined ? undefined : { pool: primary.pool, primaryTerm: primary.term, ...evidence };
@@ -116,28 +130,36 @@
         return second !== undefined && compareLogPositions(second, first) > 0 ? second : first;
     }
 
-    private chooseReadPool(group: ServiceGroup, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): UpstreamPool | undefined {
-        let best: UpstreamPool | undefined;
-        let bestCost = Number.POSITIVE_INFINITY;
-        for (const pool of group.pools.list(group.service)) {
-            if (group.pools.isLeavingGraceOver(pool.upstream.id)) continue;
-            const cost = this.computeReadCost(group, pool, floor, triedUpstreamIds);
-            if (cost >= bestCost) continue;
-            best = pool;
-            bestCost = cost;
-        }
-        return best;
+    private listReadCandidates(group: ServiceGroup, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): readonly ReadCandidate[] {
+        return group.pools.list(group.service)
+            .filter(pool => !group.pools.isLeavingGraceOver(pool.upstream.id))
+            .map(pool => this.createReadCandidate(group, pool, floor, triedUpstreamIds));
+    }
+
+    private createReadCandidate(group: ServiceGroup, pool: UpstreamPool, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): ReadCandidate {
+        const { upstream, slots, failures } = pool;
+        const now = this.clock.now();
+        const tried = triedUpstreamIds.has(upstream.id) ? triedTier : 0;
+        return {
+            pool,
+            id: upstream.id,
+            slots: upstream.slots,
+            ownInFlight: slots.inFlight,
+            expectedOthersBusy: slots.expectedOthersBusy,
+            newsAgeMs: slots.newsAgeMs,
+            responseMs: pool.responseTimes.recentMs,
+            consecutiveFailures: pool.consecutiveFailures,
+            recentFailures: failures.computeRecentFailures(now),
+            readiness: failures.computeReadiness(now),
+            preferencePenalty: this.computePreferencePenalty(group, pool, floor),
+            tier: (upstream.isLeaving ? leavingTier : 0) + tried + (pool.isUnavailable ? unavailableTier : 0),
+        };
     }
 
-    private computeReadCost(group: ServiceGroup, pool: UpstreamPool, floor: LogPosition, triedUpstreamIds: ReadonlySet<string>): number {
-        const isPrimary = pool.upstream.id === group.primaryTracker.primary?.id;
-        let cost = pool.slots.load + pool.consecutiveFailures + pool.responseTimes.recentMs / fullLoadResponseMs + this.random.next() * randomCostRange;
-        if (pool.upstream.zone !== this.zone) cost += otherZonePenalty;
-        if (isPrimary) cost += primaryPenalty;
-        else if (pool.applied !== undefined && compareLogPositions(pool.applied, floor) < 0) cost += 1;
-        if (pool.upstream.isLeaving) cost += 1000;
-        if (triedUpstreamIds.has(pool.upstream.id)) cost += 100;
-        if (pool.isUnavailable) cost += 50;
-        return cost;
+    private computePreferencePenalty(group: ServiceGroup, pool: UpstreamPool, floor: LogPosition): number {
+        const zonePenalty = pool.upstream.zone === this.zone ? 0 : otherZonePenalty;
+        if (pool.upstream.id === group.primaryTracker.primary?.id) return zonePenalty + primaryPenalty;
+        const isLagging = pool.applied !== undefined && compareLogPositions(pool.applied, floor) < 0;
+        return zonePenalty + (isLagging ? laggingPenalty : 0);
     }
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -4,6 +4,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { perform } from "@vanillarouter/base/perform";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { FailureHistory } from "@vanillarouter/scheduling/failureHistory";
 import { Err, Ok, Result } from "ts-results";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
@@ -37,6 +38,7 @@
     public lastResponseAt = Number.NEGATIVE_INFINITY;
     public readonly responseTimes: ResponseTimeAverage;
     public readonly slots: UpstreamSlots;
+    public readonly failures = FailureHistory.create();
     private readonly idle: UpstreamConnection[] = [];
     private readonly open = new Set<UpstreamConnection>();
     private readonly connectionQueue = WaitQueue.create<void>();
@@ -144,11 +146,13 @@
     public recordResponse(applied: LogPosition | undefined): void {
         this.consecutiveFailures = 0;
         this.lastResponseAt = this.clock.now();
+        this.failures.recordResponse(this.lastResponseAt);
         if (applied !== undefined && (this.applied === undefined || compareLogPositions(applied, this.applied) !== 0)) this.applied = applied;
     }
 
     public recordFailure(): void {
         this.consecutiveFailures++;
+        this.failures.recordLostResponse(this.clock.now());
     }
 
     /** Closes every connection. Statements in flight end without a response. */
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -67,6 +67,8 @@
             getConnectionLimit: () => gateways.getConnectionLimit(upstream.service),
             getGatewayCount: () => gateways.list(upstream.service).length,
         });
+        // The upstream was restarted: its work and its connections are gone.
+        if (known !== undefined) pool.failures.recordReturn(this.clock.now());
         this.pools.set(upstream.id, pool);
         return pool;
     }
--- a/packages/session/src/upstream/upstreamSlots.ts
+++ b/packages/session/src/upstream/upstreamSlots.ts
@@ -1,5 +1,6 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
+import { OthersLoad } from "@vanillarouter/scheduling/othersLoad";
 import { SlotQuota } from "@vanillarouter/scheduling/slotQuota";
 import { SlotScheduler } from "@vanillarouter/scheduling/slotScheduler";
 import { Err, Result } from "ts-results";
@@ -11,6 +12,7 @@
 export class UpstreamSlots {
     private readonly scheduler: SlotScheduler;
     private readonly quota = SlotQuota.create();
+    private readonly others = OthersLoad.create();
 
     private constructor(private readonly clock: Clock, private readonly getSlots: () => number, private readonly getGatewayCount: () => number) {
         this.scheduler = SlotScheduler.create(clock, Math.max(1, getSlots()));
@@ -34,12 +36,29 @@
 
     /** Running and waiting statements of this VM per slot of the upstream. */
     public get load(): number {
-        return (this.scheduler.runningCount + this.scheduler.waitingCount) / Math.max(1, this.getSlots());
+        return this.inFlight / Math.max(1, this.getSlots());
+    }
+
+    /** Statements of this VM that run or wait for a slot. */
+    public get inFlight(): number {
+        return this.scheduler.runningCount + this.scheduler.waitingCount;
+    }
+
+    /** Slots that other VMs are expected to use. */
+    public get expectedOthersBusy(): number {
+        return this.others.estimate(this.inFlight, this.getGatewayCount(), this.clock.now());
+    }
+
+    /** Age of the latest status in milliseconds; undefined if there was none. */
+    public get newsAgeMs(): number | undefined {
+        return this.others.computeAgeMs(this.clock.now());
     }
 
     /** Records how many slots of the upstream are in use by all VMs. */
     public recordBusySlots(busySlots: number): void {
-        this.quota.observe(busySlots, this.getSlots(), this.clock.now());
+        const now = this.clock.now();
+        this.quota.observe(busySlots, this.getSlots(), now);
+        this.others.observe(busySlots, this.getSlots(), this.scheduler.runningCount, now);
     }
 
     /** Runs an operation in a slot. Fails with `Busy`, without running it, if it would get the slot too late for its deadline. */
