Share the slots of a class fairly among its tenants

Cause: UpstreamSlots passed no fairness key to the scheduler, so a tenant that sends more than its usual load delayed all others of its class.

Change: the tenant of a slot request is the scheduler's fairness key. Callers without a tenant share one key, as before.

The test fails without the change.

--- a/packages/session/src/upstream/upstreamPool.test.ts
+++ b/packages/session/src/upstream/upstreamPool.test.ts
@@ -16,12 +16,14 @@
 
 interface ReplayedClass {
     readonly workClass: WorkClass;
+    readonly tenant?: string;
     readonly ordinaryIntervalMs: number;
     readonly floodIntervalMs: number;
 }
 
 interface ReplayedStatement {
     readonly workClass: WorkClass;
+    readonly tenant: string | undefined;
     readonly sentAt: number;
     endedAt: number;
     isServed: boolean;
@@ -42,9 +44,9 @@
     public run(classes: readonly ReplayedClass[]): void {
         for (let elapsedMs = 0; elapsedMs < ordinaryMs + floodMs; elapsedMs++) {
             if (elapsedMs === ordinaryMs) this.statements.length = 0;
-            for (const { workClass, ordinaryIntervalMs, floodIntervalMs } of classes) {
+            for (const { workClass, tenant, ordinaryIntervalMs, floodIntervalMs } of classes) {
                 const intervalMs = elapsedMs < ordinaryMs ? ordinaryIntervalMs : floodIntervalMs;
-                if (elapsedMs % intervalMs === 0) Task.start(this.send(workClass));
+                if (elapsedMs % intervalMs === 0) Task.start(this.send(workClass, tenant));
             }
             this.bed.clock.advance(1);
         }
@@ -55,13 +57,14 @@
         return this.statements.filter(statement => statement.workClass === workClass);
     }
 
-    private *send(workClass: WorkClass): Operation<void> {
+    private *send(workClass: WorkClass, tenant: string | undefined): Operation<void> {
         const sentAt = this.bed.clock.now();
-        const statement: ReplayedStatement = { workClass, sentAt, endedAt: 0, isServed: false };
+        const statement: ReplayedStatement = { workClass, tenant, sentAt, endedAt: 0, isServed: false };
         this.statements.push(statement);
         const request = {
             session: this.bed.session,
             workClass,
+            tenant,
             receivedAt: sentAt,
             deadline: sentAt + workClass.targetMs,
             waitDeadline: sentAt + workClass.statementTimeoutMs,
@@ -112,3 +115,26 @@
         replay.list(recon).filter(statement => statement.isServed && statement.endedAt - statement.sentAt <= recon.targetMs).length;
     assert.ok(countInTime(flooded) >= 0.95 * countInTime(ordinary), `${countInTime(flooded)} of ${countInTime(ordinary)}`);
 });
+
+// Load pattern: one of eight tenants of a class sends 7 times its usual load, which is more than the slots can do.
+test("a tenant that sends 7 times its load hardly delays the other tenants of its class, and none of theirs is refused", () => {
+    const workClass = createClass("entry", 0, 250);
+    const usualIntervalMs = 160;
+    const replayTenants = (loudIntervalMs: number): FloodReplay => {
+        const replay = new FloodReplay();
+        replay.run(Array.from({ length: 8 }, (_, index) => ({
+            workClass,
+            tenant: `t${index}`,
+            ordinaryIntervalMs: usualIntervalMs + index,
+            floodIntervalMs: index === 0 ? loudIntervalMs : usualIntervalMs + index,
+        })));
+        return replay;
+    };
+    const listOthers = (replay: FloodReplay): readonly ReplayedStatement[] => replay.list(workClass).filter(statement => statement.tenant !== "t0");
+    const computeMeanMs = (statements: readonly ReplayedStatement[]): number =>
+        statements.reduce((sum, statement) => sum + statement.endedAt - statement.sentAt, 0) / statements.length;
+    const [usual, flooded] = [replayTenants(usualIntervalMs), replayTenants(Math.floor(usualIntervalMs / 7))].map(listOthers);
+    assert.ok(flooded!.every(statement => statement.isServed), `${flooded!.filter(statement => !statement.isServed).length} refused`);
+    const [usualMs, floodedMs] = [computeMeanMs(usual!), computeMeanMs(flooded!)];
+    assert.ok(floodedMs <= usualMs + serviceMs, `mean response time ${floodedMs} ms, ${usualMs} ms under usual load`);
+});
--- a/packages/session/src/upstream/upstreamSlots.ts
+++ b/packages/session/src/upstream/upstreamSlots.ts
@@ -67,7 +67,8 @@
         const slotRequest = {
             className: request.workClass.database,
             rank: convertRank(request.workClass.rank),
-            franchisee: "",
+            // The scheduler shares the slots of a class fairly among these; callers without a tenant share as one.
+            franchisee: request.tenant ?? "",
             arrivedAt: request.receivedAt,
             deadline: request.deadline,
             afterSlotMs: 0,
