Drop work that has not been sent when its caller leaves, where the settings ask for it

Cause: a session notices that its caller has closed the connection only after the statement in progress, so work for callers that left keeps its place in the queue, takes a slot and runs.

Change: with load.dropsAbandonedWork a session tells its statements when the connection closes (Abandonment). What waits for a slot or a connection is dropped at once as not run; what has been sent runs to its end, and its response is evaluated as before. Statements that the caller sent ahead are not started. At a gateway the same happens by the message cancel with the number of the call; the call still gets its one response, so nothing is repeated. A gateway says in its pong that it knows the message, since one of an earlier version would close the link. Result code 1830, counter vanillarouter_abandoned_total.

--- a/packages/relay/src/relayExecutor.ts
+++ b/packages/relay/src/relayExecutor.ts
@@ -2,6 +2,7 @@
 import { Diagnostics } from "@vanillarouter/session/diagnostics";
 import { CallerRequest } from "@vanillarouter/session/entry/callerRequest";
 import { createFailedOutcome } from "@vanillarouter/session/entry/createFailedOutcome";
+import { hasCallerLeft } from "@vanillarouter/session/entry/hasCallerLeft";
 import { StatementOutcome } from "@vanillarouter/session/entry/statementOutcome";
 import { CallerStatement } from "@vanillarouter/session/model/callerStatement";
 import { CallerTransaction } from "@vanillarouter/session/model/callerTransaction";
@@ -32,6 +33,7 @@
             if (clock.now() >= deadline) break;
             const startedAt = clock.now();
             const link = yield* gateway.obtainLink();
+            if (hasCallerLeft(req)) return createFailedOutcome(ErrorKind.Busy, Diagnostics.callerLeft);
             if (link === undefined) {
                 recordRelayCall(this.context, req, statement.id, gateway, startedAt, "unreachable");
                 gateways.recordFailure(gateway, service);
@@ -40,7 +42,10 @@
             const requestFields = describeOperation(req, statement, clock.now());
             const createRequest = (call: number): RelayRequest => ({ kind: "run", call, ...requestFields });
             const timeoutMs = deadline + RelayLimits.responseMarginMs - clock.now();
-            const response = yield* req.readOnly ? link.callRepeatable(timeoutMs, createRequest) : link.call(timeoutMs, createRequest);
+            const { abandonment } = req;
+            const response = yield* req.readOnly
+                ? link.callRepeatable(timeoutMs, createRequest, abandonment)
+                : link.call(timeoutMs, createRequest, abandonment);
             const outcome = this.completeCall(req, statement, gateway, startedAt, response);
             if (outcome !== undefined) return outcome;
         }
--- a/packages/relay/src/relayLink.ts
+++ b/packages/relay/src/relayLink.ts
@@ -4,7 +4,9 @@
 import { perform } from "@vanillarouter/base/perform";
 import { race } from "@vanillarouter/base/race";
 import { Signal } from "@vanillarouter/base/signal";
+import { Task } from "@vanillarouter/base/task";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { Abandonment } from "@vanillarouter/session/entry/abandonment";
 import { decodeMessage } from "./decodeMessage";
 import { encodeMessage } from "./encodeMessage";
 import { RelayLimits } from "./relayLimits";
@@ -39,6 +41,8 @@
     private silentSince: number;
     private lastSentAt: number;
     private isSilent = false;
+    /** Whether the gateway understands `cancel`; undefined before it was asked. */
+    private acceptsCancel: boolean | undefined;
     private readonly fellSilent = Signal.create<undefined>();
 
     private constructor(private readonly socket: LineSocket, private readonly clock: Clock) {
@@ -84,7 +88,8 @@
             if (response === undefined) return this.close();
             this.silentSince = this.clock.now();
             this.isSilent = false;
-            if (response.kind !== "pong") this.responseHandlers.get(response.call)?.(response);
+            if (response.kind === "pong") this.acceptsCancel = response.acceptsCancel === true;
+            else this.responseHandlers.get(response.call)?.(response);
         }
     }
 
@@ -107,11 +112,14 @@
         if (needsLivenessPing || needsKeepAlive) this.send({ kind: "ping" });
     }
 
-    /** Sends a request and waits for its response. Returns undefined if none arrives in time; the request may have been executed then. */
-    public *call(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
+    /**
+     * Sends a request and waits for its response. Returns undefined if none arrives in time; the request may have been executed then.
+     * If the caller leaves meanwhile, the gateway is told, and its response says whether the request ran.
+     */
+    public *call(timeoutMs: number, createRequest: (call: number) => RelayRequest, abandonment?: Abandonment): Operation<CallResponse | undefined> {
         if (this.activeCallCount++ === 0 && !this.isSilent) this.silentSince = this.clock.now();
         try {
-            return yield* this.exchange(timeoutMs, createRequest);
+            return yield* this.exchange(timeoutMs, createRequest, abandonment);
         }
         finally {
             this.activeCallCount--;
@@ -119,8 +127,12 @@
     }
 
     /** Like `call`, but also returns undefined as soon as the gateway falls silent; for requests that another gateway can repeat. */
-    public *callRepeatable(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
-        return yield* race<CallResponse | undefined>([this.call(timeoutMs, createRequest), this.fellSilent.wait()]);
+    public *callRepeatable(
+        timeoutMs: number,
+        createRequest: (call: number) => RelayRequest,
+        abandonment?: Abandonment,
+    ): Operation<CallResponse | undefined> {
+        return yield* race<CallResponse | undefined>([this.call(timeoutMs, createRequest, abandonment), this.fellSilent.wait()]);
     }
 
     /**
@@ -131,17 +143,28 @@
         return yield* race<CallResponse | undefined>([this.exchange(timeoutMs, createRequest), this.fellSilent.wait()]);
     }
 
-    private *exchange(timeoutMs: number, createRequest: (call: number) => RelayRequest): Operation<CallResponse | undefined> {
+    private *exchange(timeoutMs: number, createRequest: (call: number) => RelayRequest, abandonment?: Abandonment): Operation<CallResponse | undefined> {
         if (!this.isOpen) return undefined;
         const call = ++this.lastCallNumber;
+        const cancelTask = abandonment === undefined ? undefined : Task.start(this.cancelWhenAbandoned(call, abandonment));
         try {
             return yield* withTimeout(this.clock, timeoutMs, this.sendAndWait(call, createRequest(call)));
         }
         finally {
+            cancelTask?.cancel();
             this.responseHandlers.delete(call);
         }
     }
 
+    private *cancelWhenAbandoned(call: number, abandonment: Abandonment): Operation<void> {
+        if (this.acceptsCancel === undefined) {
+            this.acceptsCancel = false;
+            this.send({ kind: "ping" });
+        }
+        yield* abandonment.wait();
+        if (this.acceptsCancel) this.send({ kind: "cancel", call });
+    }
+
     public send(message: RelayRequest): void {
         this.lastSentAt = this.clock.now();
         this.socket.send(encodeMessage(message));
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -1,6 +1,7 @@
 import { Clock } from "@vanillarouter/base/clock";
 import { Operation } from "@vanillarouter/base/operation";
 import { ClusterState } from "@vanillarouter/session/cluster/clusterState";
+import { Abandonment } from "@vanillarouter/session/entry/abandonment";
 import { CallerRequest } from "@vanillarouter/session/entry/callerRequest";
 import { FloorTable } from "@vanillarouter/session/entry/floorTable";
 import { SessionValues } from "@vanillarouter/session/entry/sessionValues";
@@ -30,6 +31,8 @@
 /** Executes the requests that one entry VM sends over one link. */
 export class RelayRequestHandler {
     private readonly transactions = new Map<number, HeldTransaction>();
+    /** Operations that are running a statement, by the number of the call. */
+    private readonly running = new Map<number, Abandonment>();
 
     private constructor(
         private readonly cluster: ClusterState,
@@ -64,7 +67,7 @@
         if (!this.acceptsService(message.operation.workClass.service)) return { kind: "declined", call: message.call };
         const req = this.createRequest(message.operation);
         this.applySession(req, message);
-        return this.createOutcomeResponse(message.call, req, yield* this.executor.runStatement(req, message.statement));
+        return this.createOutcomeResponse(message.call, req, yield* this.track(message.call, req, this.executor.runStatement(req, message.statement)));
     }
 
     public *transact(message: TransactRequest): Operation<RelayResponse> {
@@ -74,7 +77,8 @@
         this.applySession(held.req, message);
         const isCommit = message.statement.kind === StatementKind.Commit;
         held.isBusy = true;
-        const outcome = isCommit ? yield* held.transaction.commit(message.statement) : yield* held.transaction.runStatement(message.statement);
+        const statement = isCommit ? held.transaction.commit(message.statement) : held.transaction.runStatement(message.statement);
+        const outcome = yield* this.track(message.call, held.req, statement);
         held.isBusy = false;
         if (held.isRollbackPending) held.transaction.rollBack();
         else if (isCommit || outcome.error !== undefined) this.rollBack(message.transaction);
@@ -92,6 +96,11 @@
         return { kind: "changes", call, changes, era, revision: latest.position.revision };
     }
 
+    /** Drops what a call has not sent yet, because its caller has left. A call that has been answered is not affected. */
+    public cancel(call: number): void {
+        this.running.get(call)?.abandon();
+    }
+
     /** Rolls back a transaction, after its statement if one is running. A transaction that has committed is not affected. */
     public rollBack(transaction: number): void {
         const held = this.transactions.get(transaction);
@@ -105,6 +114,16 @@
         for (const transaction of [...this.transactions.keys()]) this.rollBack(transaction);
     }
 
+    private *track(call: number, { abandonment }: CallerRequest, operation: Operation<StatementOutcome>): Operation<StatementOutcome> {
+        if (abandonment !== undefined) this.running.set(call, abandonment);
+        try {
+            return yield* operation;
+        }
+        finally {
+            this.running.delete(call);
+        }
+    }
+
     private beginTransaction(message: TransactRequest): HeldTransaction | undefined {
         const { operation } = message;
         if (operation === undefined || !this.acceptsService(operation.workClass.service)) return undefined;
@@ -118,7 +137,8 @@
         const { id, workClass, tenant, floor, waitedMs, readOnly, mayRead } = operation;
         const floors = FloorTable.create();
         if (floor !== undefined) floors.raise(workClass.service, floor);
-        return { id, workClass, tenant, session: SessionValues.create(), floors, receivedAt: this.clock.now() - waitedMs, readOnly, mayRead };
+        const receivedAt = this.clock.now() - waitedMs;
+        return { id, workClass, tenant, abandonment: Abandonment.create(), session: SessionValues.create(), floors, receivedAt, readOnly, mayRead };
     }
 
     /** Applies the session state sent with a statement. It may change within a transaction, so every statement carries it. */
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -60,6 +60,8 @@
         statement: statementSchema,
         session: sessionSchema,
     }),
+    /** The caller of a `run` or `transact` has left: what has not been sent to an upstream is dropped. The call still gets its one response. */
+    z.object({ kind: z.literal("cancel"), call: z.number() }),
     z.object({ kind: z.literal("roll-back"), transaction: z.number() }),
     z.object({ kind: z.literal("check"), call: z.number(), service: z.string() }),
     /**
--- a/packages/relay/src/relayResponseSchema.ts
+++ b/packages/relay/src/relayResponseSchema.ts
@@ -33,5 +33,6 @@
         /** Revision from which the follower continues. */
         revision: z.number(),
     }),
-    z.object({ kind: z.literal("pong") }),
+    /** Response to `ping`. VMs of earlier versions close a link on which they get a `cancel`, so they do not set `acceptsCancel`. */
+    z.object({ kind: z.literal("pong"), acceptsCancel: z.boolean().optional() }),
 ]);
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -92,9 +92,11 @@
     private dispatch(message: RelayRequest, handler: RelayRequestHandler, lineSocket: LineSocket): void {
         switch (message.kind) {
             case "ping":
-                return this.send(lineSocket, { kind: "pong" });
+                return this.send(lineSocket, { kind: "pong", acceptsCancel: true });
             case "check":
                 return this.send(lineSocket, { kind: handler.acceptsService(message.service) ? "ready" : "declined", call: message.call });
+            case "cancel":
+                return handler.cancel(message.call);
             case "roll-back":
                 return handler.rollBack(message.transaction);
             case "run":
--- a/packages/relay/src/relayedTransaction.ts
+++ b/packages/relay/src/relayedTransaction.ts
@@ -2,6 +2,7 @@
 import { Diagnostics } from "@vanillarouter/session/diagnostics";
 import { CallerRequest } from "@vanillarouter/session/entry/callerRequest";
 import { createFailedOutcome } from "@vanillarouter/session/entry/createFailedOutcome";
+import { hasCallerLeft } from "@vanillarouter/session/entry/hasCallerLeft";
 import { StatementOutcome } from "@vanillarouter/session/entry/statementOutcome";
 import { CallerStatement } from "@vanillarouter/session/model/callerStatement";
 import { CallerTransaction } from "@vanillarouter/session/model/callerTransaction";
@@ -70,6 +71,7 @@
     /** Begins the transaction on a gateway with its first statement. Returns undefined if nothing was executed there. */
     private *beginAtGateway(gateway: RelayGateway, statement: CallerStatement, startedAt: number): Operation<StatementOutcome | undefined> {
         const link = yield* gateway.obtainLink();
+        if (hasCallerLeft(this.req)) return createFailedOutcome(ErrorKind.Aborted, Diagnostics.callerLeft);
         if (link === undefined) {
             recordRelayCall(this.context, this.req, statement.id, gateway, startedAt, "unreachable");
             return undefined;
@@ -97,7 +99,7 @@
             transaction: remote.transactionNumber,
             operation: isFirst ? operation : undefined,
             ...requestFields,
-        }));
+        }), this.req.abandonment);
     }
 
     private completeCall({ gateway }: RemoteTransaction, statement: CallerStatement, startedAt: number, response: RelayResponse | undefined): StatementOutcome {
--- a/packages/relay/src/testing/fakeExecutor.ts
+++ b/packages/relay/src/testing/fakeExecutor.ts
@@ -1,9 +1,11 @@
 import { Operation } from "@vanillarouter/base/operation";
+import { race } from "@vanillarouter/base/race";
 import { Signal } from "@vanillarouter/base/signal";
 import { CallerRequest } from "@vanillarouter/session/entry/callerRequest";
 import { StatementOutcome } from "@vanillarouter/session/entry/statementOutcome";
 import { CallerStatement } from "@vanillarouter/session/model/callerStatement";
 import { CallerTransaction } from "@vanillarouter/session/model/callerTransaction";
+import { ErrorKind } from "@vanillarouter/session/model/errorKind";
 import { OperationExecutor } from "@vanillarouter/session/model/operationExecutor";
 
 /** A test double for the executor of a gateway, which records the statements that it gets. */
@@ -16,6 +18,8 @@
     /** While true, statements wait for `unblocked` before they return. */
     public isBlocked = false;
     public readonly unblocked = Signal.create<void>();
+    /** Ids of statements whose callers left while they waited for `unblocked`. */
+    public readonly droppedIds: string[] = [];
     public lastRequest: CallerRequest | undefined;
     private position = 0;
 
@@ -28,7 +32,11 @@
     public *runStatement(req: CallerRequest, statement: CallerStatement): Operation<StatementOutcome> {
         this.lastRequest = req;
         this.executedIds.push(statement.id);
-        if (this.isBlocked) yield* this.unblocked.wait();
+        if (this.isBlocked) yield* race<void>([this.unblocked.wait(), req.abandonment!.wait()]);
+        if (req.abandonment!.isAbandoned) {
+            this.droppedIds.push(statement.id);
+            return { rows: [], receipt: undefined, error: ErrorKind.Busy, text: "dropped" };
+        }
         if (!req.readOnly) req.floors.raise(req.workClass.service, { term: 1, position: ++this.position });
         return this.createOutcome(statement);
     }
--- a/packages/session/src/diagnostics.ts
+++ b/packages/session/src/diagnostics.ts
@@ -17,4 +17,5 @@
     noGateway: createDiagnostic(1812, "no VM with connections to {0} could be reached", "Reconnect; another VM may be able to reach one."),
     addressNotBound: createDiagnostic(1813, "cannot listen on {0}: {1}", "Check the address in the settings and that no other process uses the port."),
     upstreamFailed: createDiagnostic(1810, "the upstream answered: {0}", "See the log of the upstream."),
+    callerLeft: createDiagnostic(1830, "the caller closed its connection before the statement was sent", "Nothing; the statement did not run."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/session/src/entry/callerRequest.ts
+++ b/packages/session/src/entry/callerRequest.ts
@@ -1,4 +1,5 @@
 import { WorkClass } from "../model/workClass";
+import { Abandonment } from "./abandonment";
 import { FloorTable } from "./floorTable";
 import { SessionValues } from "./sessionValues";
 
@@ -9,6 +10,8 @@
     readonly workClass: WorkClass;
     /** Name of the tenant on whose behalf the operation runs; undefined if the caller is not authenticated. */
     readonly tenant?: string;
+    /** Whether the caller has left. Undefined if work is not dropped for it. */
+    readonly abandonment?: Abandonment;
     readonly session: SessionValues;
     readonly floors: FloorTable;
     /** Local time in milliseconds at which the first byte of the operation was read. */
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -10,6 +10,7 @@
 import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { WorkClass } from "../model/workClass";
+import { Abandonment } from "./abandonment";
 import { CallerRequest } from "./callerRequest";
 import { createFailedOutcome } from "./createFailedOutcome";
 import { FloorTable } from "./floorTable";
@@ -37,8 +38,14 @@
     /** Local time in milliseconds at which the latest transaction began. */
     private transactionBegunAt = 0;
     private lastStatementEndedOperation = false;
+    private readonly abandonment: Abandonment | undefined;
 
-    private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {}
+    private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {
+        if (!context.dropsAbandonedWork) return;
+        const abandonment = Abandonment.create();
+        this.abandonment = abandonment;
+        channel.onClosed(() => abandonment.abandon());
+    }
 
     public static create(channel: CallerChannel, context: SessionContext): CallerSession {
         return new CallerSession(channel, context);
@@ -58,7 +65,7 @@
         try {
             for (;;) {
                 const statement = yield* this.waitForStatement();
-                if (statement === undefined) return;
+                if (statement === undefined || this.abandonment?.isAbandoned === true) return;
                 yield* this.respondToStatement(statement, this.context.clock.now());
                 if (this.isBetweenOperations && this.context.shutdown.closesSessionsBetweenOperations) return;
             }
@@ -150,7 +157,8 @@
     }
 
     private createRequest(statement: CallerStatement, workClass: WorkClass, receivedAt: number, readOnly: boolean, mayRead: boolean): CallerRequest {
-        return { id: statement.id, workClass, session: this.sessionValues, floors: this.floors, receivedAt, readOnly, mayRead };
+        const { abandonment, sessionValues, floors } = this;
+        return { id: statement.id, workClass, abandonment, session: sessionValues, floors, receivedAt, readOnly, mayRead };
     }
 
     private *runDataStatement(statement: CallerStatement, receivedAt: number): Operation<void> {
@@ -193,6 +201,7 @@
     private recordOutcome(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome): void {
         const latencyMs = this.context.clock.now() - receivedAt;
         this.context.metrics.recordStatement(workClass, outcome.error, latencyMs);
+        if (this.abandonment?.isAbandoned === true) this.context.metrics.recordAbandoned(workClass, outcome.error);
         if (outcome.error === undefined) return;
         this.context.decisions.logFailed("statement.failed", {
             req: statement.id,
@@ -201,6 +210,7 @@
             kind: statement.kind,
             error: outcome.error,
             ms: Math.round(latencyMs),
+            callerLeft: this.abandonment?.isAbandoned === true ? true : undefined,
             text: outcome.text,
         });
     }
--- a/packages/session/src/entry/entryMetrics.ts
+++ b/packages/session/src/entry/entryMetrics.ts
@@ -14,6 +14,11 @@
         return new EntryMetrics();
     }
 
+    /** Counts a statement whose caller left before its outcome was known. It is also counted by `recordStatement`. */
+    public recordAbandoned(workClass: string, error: ErrorKind | undefined): void {
+        this.counters.add("vanillarouter_abandoned_total", `class="${workClass}",outcome="${error ?? "answered"}"`);
+    }
+
     public recordStatement(workClass: string, error: ErrorKind | undefined, latencyMs: number): void {
         this.counters.add("vanillarouter_statements_total", `class="${workClass}",outcome="${error ?? "answered"}"`);
         this.statementLatencies.record(`class="${workClass}"`, latencyMs);
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -18,6 +18,7 @@
 import { createFailedOutcome } from "./createFailedOutcome";
 import { describeTarget } from "./describeTarget";
 import { EntryContext } from "./entryContext";
+import { hasCallerLeft } from "./hasCallerLeft";
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
 
@@ -122,8 +123,8 @@
     /** Sends a statement in a slot. Fails with `Busy` if it was not sent because there was no slot in time. */
     private *forward(statement: CallerStatement, deadline: number): Operation<Result<UpstreamResponse | undefined, ErrorKind>> {
         const { target, connection } = this.placement!;
-        const { session, workClass, tenant } = this.req;
-        const slotRequest = { session, workClass, tenant, receivedAt: this.context.clock.now(), deadline, waitDeadline: deadline };
+        const { session, workClass, tenant, abandonment } = this.req;
+        const slotRequest = { session, workClass, tenant, abandonment, receivedAt: this.context.clock.now(), deadline, waitDeadline: deadline };
         const forwarded = yield* target.pool.continueTransaction(slotRequest, () => this.sendStatement(statement, connection, deadline));
         if (forwarded.err) return forwarded;
         if (forwarded.val === undefined) target.pool.recordFailure();
@@ -184,6 +185,7 @@
         const triedUpstreamIds = new Set<string>();
         for (let attempt = 0; attempt < AttemptLimits.maxAttempts && this.context.clock.now() < waitDeadline; attempt++) {
             if (attempt > 0) yield* sleep(this.context.clock, AttemptLimits.retryDelayMs * attempt);
+            if (hasCallerLeft(this.req)) break;
             const target = yield* this.context.targets.find(this.group, this.req, triedUpstreamIds, waitDeadline);
             if (target === undefined) {
                 this.context.decisions.logFailed("transaction.unplaced", { req: this.req.id, statement: statement.id, attempt, ...describeGroup(this.group) });
@@ -203,8 +205,9 @@
     }
 
     private *beginAt(target: Target, waitDeadline: number, deadline: number): Operation<boolean> {
-        const { session, workClass, tenant, receivedAt } = this.req;
-        const slotRequest = { session, workClass, tenant, receivedAt, deadline: this.context.targets.chooseSlotDeadline(this.req, waitDeadline), waitDeadline };
+        const { session, workClass, tenant, abandonment, receivedAt } = this.req;
+        const slotDeadline = this.context.targets.chooseSlotDeadline(this.req, waitDeadline);
+        const slotRequest = { session, workClass, tenant, abandonment, receivedAt, deadline: slotDeadline, waitDeadline };
         const ran = yield* target.pool.run(slotRequest, connection => this.sendBegin(target, connection, deadline));
         if (ran.err) {
             if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) this.group.primaryTracker.suspect(`dial failed: ${ran.val}`);
--- a/packages/session/src/entry/sessionContext.ts
+++ b/packages/session/src/entry/sessionContext.ts
@@ -10,4 +10,6 @@
     readonly executors: ExecutorSelector;
     readonly shutdown: Shutdown;
     readonly admission: AdmissionControl;
+    /** Whether work that has not been sent is dropped when its caller closes the connection. */
+    readonly dropsAbandonedWork: boolean;
 }
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -17,6 +17,7 @@
 import { createFailedOutcome } from "./createFailedOutcome";
 import { describeTarget } from "./describeTarget";
 import { EntryContext } from "./entryContext";
+import { hasCallerLeft } from "./hasCallerLeft";
 import { StatementOutcome } from "./statementOutcome";
 import { Target } from "./target";
 
@@ -60,6 +61,7 @@
         for (let attempt = 0; attempt < AttemptLimits.maxAttempts && this.context.clock.now() < waitDeadline; attempt++) {
             if (attempt > 0) yield* sleep(this.context.clock, AttemptLimits.retryDelayMs * attempt);
             const target = yield* this.context.targets.find(group, req, triedUpstreamIds, waitDeadline);
+            if (hasCallerLeft(req)) return createFailedOutcome(ErrorKind.Busy, Diagnostics.callerLeft);
             if (target === undefined) {
                 this.context.decisions.logFailed("statement.unplaced", {
                     req: statement.id,
@@ -76,6 +78,7 @@
             this.recordAttempt(req, statement, target, outcome, attempt, startedAt);
             if (outcome.error === undefined || !this.mayRetry(req, outcome.error)) return outcome;
             lastFailure = outcome;
+            if (hasCallerLeft(req)) break;
             triedUpstreamIds.add(target.pool.upstream.id);
         }
         return this.createFinalOutcome(group, req, lastFailure);
@@ -84,7 +87,8 @@
     /** Counts and logs an attempt, with the reasons for its target: the primary's term, the floor and the age of the verification. */
     private recordAttempt(req: CallerRequest, statement: CallerStatement, target: Target, outcome: StatementOutcome, attempt: number, startedAt: number): void {
         const now = this.context.clock.now();
-        const result = outcome.error ?? "answered";
+        const isDropped = outcome.error === ErrorKind.Busy && hasCallerLeft(req);
+        const result = isDropped ? "abandoned" : outcome.error ?? "answered";
         const fields = {
             req: statement.id,
             service: req.workClass.service,
@@ -149,16 +153,18 @@
         waitDeadline: number,
         deadline: number,
     ): Operation<StatementOutcome> {
-        const { session, workClass, tenant, receivedAt } = req;
-        const slotRequest = { session, workClass, tenant, receivedAt, deadline: this.context.targets.chooseSlotDeadline(req, waitDeadline), waitDeadline };
+        const { session, workClass, tenant, abandonment, receivedAt } = req;
+        const slotDeadline = this.context.targets.chooseSlotDeadline(req, waitDeadline);
+        const slotRequest = { session, workClass, tenant, abandonment, receivedAt, deadline: slotDeadline, waitDeadline };
         const ran = yield* target.pool.run(slotRequest, connection => this.runOnConnection(group, req, statement, target, connection, deadline));
         if (ran.ok) return yield* this.evaluateAttempt(group, req, target, ran.val, deadline);
         if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) group.primaryTracker.suspect(`dial failed: ${ran.val}`);
-        return createFailedOutcome(
-            ran.val === ErrorKind.TimedOut ? ErrorKind.Other : ran.val,
-            Diagnostics.overloaded,
-            this.context.targets.computeRetryDelayMs(group),
-        );
+        return this.createNotSentOutcome(group, req, ran.val === ErrorKind.TimedOut ? ErrorKind.Other : ran.val);
+    }
+
+    private createNotSentOutcome(group: ServiceGroup, req: CallerRequest, error: ErrorKind): StatementOutcome {
+        if (hasCallerLeft(req)) return createFailedOutcome(ErrorKind.Busy, Diagnostics.callerLeft);
+        return createFailedOutcome(error, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
     }
 
     private *runOnConnection(
@@ -171,10 +177,13 @@
     ): Operation<AttemptResult> {
         const sentAt = group.positionSamples.readClock();
         let response: UpstreamResponse | undefined;
+        let isUnused = false;
         const cancelTimer = this.startSlowPrimaryTimer(group, target);
         try {
             const preparedName = yield* this.prepare(req, statement, connection);
             if (statement.kind === StatementKind.Execute && preparedName === undefined) return { isSent: false, response, sentAt };
+            isUnused = hasCallerLeft(req);
+            if (isUnused) return { isSent: false, response, sentAt };
             response = yield* connection.run({
                 kind: CommandKind.Forward,
                 id: statement.id,
@@ -186,14 +195,14 @@
         }
         finally {
             cancelTimer();
-            if (response === undefined || response.state !== TransactionState.Idle) target.pool.discard(connection);
+            if (!isUnused && response?.state !== TransactionState.Idle) target.pool.discard(connection);
             else target.pool.returnConnection(connection);
         }
         return { isSent: true, response, sentAt };
     }
 
     private *evaluateAttempt(group: ServiceGroup, req: CallerRequest, target: Target, attempt: AttemptResult, deadline: number): Operation<StatementOutcome> {
-        if (!attempt.isSent) return createFailedOutcome(ErrorKind.Other, Diagnostics.overloaded, this.context.targets.computeRetryDelayMs(group));
+        if (!attempt.isSent) return this.createNotSentOutcome(group, req, ErrorKind.Other);
         if (attempt.response === undefined) return this.recordLostResponse(group, target);
         return yield* this.evaluateResponse(group, req, target, attempt.response, attempt.sentAt, deadline);
     }
--- a/packages/session/src/model/callerChannel.ts
+++ b/packages/session/src/model/callerChannel.ts
@@ -19,5 +19,7 @@
     sendError(error: ErrorKind, text: string, state: TransactionState): void;
     /** Rejects the login and closes the connection. */
     rejectLogin(error: ErrorKind, text: string): void;
+    /** Calls `listener` once the connection has closed, also if statements that arrived before have not been received yet. */
+    onClosed(listener: () => void): void;
     close(): void;
 }
--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -7,6 +7,7 @@
 
 const counterHelp: Readonly<Record<string, string>> = {
     vanillarouter_statements_total: "Statements by class and outcome.",
+    vanillarouter_abandoned_total: "Statements whose callers left before the outcome, by class and outcome.",
     vanillarouter_attempts_total: "Attempts at statements by service, role of the upstream and outcome.",
     vanillarouter_relayed_total: "Calls of gateways by service and outcome.",
     vanillarouter_store_calls_total: "Calls to the platform's store by kind and answer.",
--- a/packages/session/src/upstream/slotRequest.ts
+++ b/packages/session/src/upstream/slotRequest.ts
@@ -1,3 +1,4 @@
+import { Abandonment } from "../entry/abandonment";
 import { SessionValues } from "../entry/sessionValues";
 import { WorkClass } from "../model/workClass";
 
@@ -7,6 +8,8 @@
     readonly workClass: WorkClass;
     /** Tenant whose connection is needed; undefined if the caller is not authenticated. */
     readonly tenant?: string;
+    /** Whether the caller has left; a request that has not been sent then fails with `Busy`. Undefined if work is not dropped for it. */
+    readonly abandonment?: Abandonment;
     /** Local time in milliseconds at which the statement was received. */
     readonly receivedAt: number;
     /** Local time in milliseconds by which the response is due. A statement that would get its slot too late for it is refused at once. */
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -6,6 +6,7 @@
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { FailureHistory } from "@vanillarouter/scheduling/failureHistory";
 import { Err, Ok, Result } from "ts-results";
+import { hasCallerLeft } from "../entry/hasCallerLeft";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
 import { TransactionState } from "../model/transactionState";
@@ -14,6 +15,7 @@
 import { UpstreamStatus } from "../model/upstreamStatus";
 import { PoolLimits } from "./poolLimits";
 import { ResponseTimeAverage } from "./responseTimeAverage";
+import { runUnlessAbandoned } from "./runUnlessAbandoned";
 import { SlotRequest } from "./slotRequest";
 import { UpstreamConnection } from "./upstreamConnection";
 import { UpstreamSlots } from "./upstreamSlots";
@@ -105,7 +107,12 @@
         while (!this.isClosed) {
             const connection = yield* this.obtainConnection(request);
             if (connection.err) return connection;
-            if (yield* connection.val.applySession(request.session)) return Ok(yield* operation(connection.val));
+            const isReady = yield* connection.val.applySession(request.session);
+            if (isReady && !hasCallerLeft(request)) return Ok(yield* operation(connection.val));
+            if (isReady) {
+                this.returnConnection(connection.val);
+                return Err(ErrorKind.Busy);
+            }
             this.discard(connection.val);
         }
         return Err(ErrorKind.Other);
@@ -199,6 +206,11 @@
             if (idle !== undefined) return Ok(idle);
             const now = this.clock.now();
             if (this.isClosed || now >= request.waitDeadline) return Err(ErrorKind.Busy);
+            if (hasCallerLeft(request)) {
+                // It may have been woken for a connection that the next waiter can use.
+                this.wakeNextWaiter();
+                return Err(ErrorKind.Busy);
+            }
             if (this.connectionCount < this.limits.getConnectionLimit() && now >= this.dialBlockedUntil) {
                 const dialed = yield* this.dial();
                 if (dialed.ok) return dialed;
@@ -207,7 +219,8 @@
             }
             if (this.open.size === 0 && now < this.dialBlockedUntil) return Err(ErrorKind.Other);
             const waitMs = Math.min(request.waitDeadline - now, connectionLimitPauseMs);
-            yield* withTimeout(this.clock, Math.max(1, waitMs), this.waitForConnection(request.workClass.rank));
+            const wait = runUnlessAbandoned(request.abandonment, () => false, this.waitForConnection(request.workClass.rank));
+            yield* withTimeout(this.clock, Math.max(1, waitMs), wait);
         }
     }
 
--- a/packages/session/src/upstream/upstreamSlots.ts
+++ b/packages/session/src/upstream/upstreamSlots.ts
@@ -3,9 +3,11 @@
 import { OthersLoad } from "@vanillarouter/scheduling/othersLoad";
 import { SlotQuota } from "@vanillarouter/scheduling/slotQuota";
 import { SlotScheduler } from "@vanillarouter/scheduling/slotScheduler";
-import { Err, Result } from "ts-results";
+import { Err, Ok, Result } from "ts-results";
+import { hasCallerLeft } from "../entry/hasCallerLeft";
 import { ErrorKind } from "../model/errorKind";
 import { convertRank } from "./convertRank";
+import { runUnlessAbandoned } from "./runUnlessAbandoned";
 import { SlotRequest } from "./slotRequest";
 
 /** This VM's use of the slots of one upstream: how many statements it may run at once, and which of them is next. */
@@ -61,7 +63,7 @@
         this.others.observe(busySlots, this.getSlots(), this.scheduler.runningCount, now);
     }
 
-    /** Runs an operation in a slot. Fails with `Busy`, without running it, if it would get the slot too late for its deadline. */
+    /** Runs an operation in a slot. Fails with `Busy`, without running it, if it would get the slot too late for its deadline, or if its caller leaves before. */
     public *run<T>(request: SlotRequest, continuesWork: boolean, operation: () => Operation<T>): Operation<Result<T, ErrorKind>> {
         this.scheduler.setSlots(this.use.quota);
         const slotRequest = {
@@ -74,7 +76,13 @@
             afterSlotMs: 0,
             continuesWork,
         };
-        const ran = yield* this.scheduler.run(slotRequest, operation);
-        return ran.ok ? ran : Err(ErrorKind.Busy);
+        let isStarted = false;
+        const start = function*(): Operation<Result<T, ErrorKind>> {
+            if (hasCallerLeft(request)) return Err(ErrorKind.Busy);
+            isStarted = true;
+            return Ok(yield* operation());
+        };
+        const ran = yield* runUnlessAbandoned(request.abandonment, () => isStarted, this.scheduler.run(slotRequest, start));
+        return ran?.ok === true ? ran.val : Err(ErrorKind.Busy);
     }
 }
