Weigh an upstream's failures by the part of its commands that failed

Cause: the cost counted recent failures whatever the number of responses, so a replica that fails 5% of its reads lost most of them, and the other replica and the primary got them.

Change: FailureHistory keeps responses and failures, both fading by half each second; the cost is 8 times the failed part.

--- a/packages/scheduling/src/failureHistory.ts
+++ b/packages/scheduling/src/failureHistory.ts
@@ -1,7 +1,7 @@
-/** Time in which the effect of a failure halves. */
+/** Time in which the weight of a response or failure halves. */
 const halfLifeMs = 1_000;
-/** More failures than this cost no more, so that a long outage does not keep an upstream out of use after its end. */
-const maxRecentFailures = 8;
+/** Responses that are assumed beside the recent ones, so that a single failure counts for a part only and a past one for nothing. */
+const assumedResponses = 2;
 /** Time in which an upstream that responds again gets back to its full share of work. */
 const recoveryMs = 2_000;
 /** Fraction of its slots with which an upstream starts when it responds again. */
@@ -16,7 +16,8 @@
  * after an outage and would get all new work at once, while connections to it still have to be opened.
  */
 export class FailureHistory {
-    private level = 0;
+    private failures = 0;
+    private responses = 0;
     private updatedAt = 0;
     private lostResponses = 0;
     private returnedAt = Number.NEGATIVE_INFINITY;
@@ -35,11 +36,13 @@
 
     /** Records a response that says that the upstream failed the command. */
     public recordError(now: number): void {
-        this.level = Math.min(maxRecentFailures, this.computeRecentFailures(now) + 1);
-        this.updatedAt = now;
+        this.fade(now);
+        this.failures++;
     }
 
     public recordResponse(now: number): void {
+        this.fade(now);
+        this.responses++;
         if (this.lostResponses >= outageFailures) this.recordReturn(now);
         this.lostResponses = 0;
     }
@@ -49,9 +52,10 @@
         this.returnedAt = now;
     }
 
-    /** Returns the number of failures, each discounted by its age. */
-    public computeRecentFailures(now: number): number {
-        return this.level * 0.5 ** ((now - this.updatedAt) / halfLifeMs);
+    /** Returns the part of the recent commands that failed, each discounted by its age; 0 if there were none for long. */
+    public computeFailedPart(now: number): number {
+        const weight = this.computeWeight(now);
+        return this.failures * weight / ((this.failures + this.responses) * weight + assumedResponses);
     }
 
     /** Returns the fraction of the upstream's slots that new work may count on, which rises from `initialReadiness` to 1 after an outage. */
@@ -59,4 +63,15 @@
         if (this.lostResponses >= outageFailures) return initialReadiness;
         return Math.min(1, initialReadiness + (1 - initialReadiness) * (now - this.returnedAt) / recoveryMs);
     }
+
+    private fade(now: number): void {
+        const weight = this.computeWeight(now);
+        this.failures *= weight;
+        this.responses *= weight;
+        this.updatedAt = now;
+    }
+
+    private computeWeight(now: number): number {
+        return 0.5 ** ((now - this.updatedAt) / halfLifeMs);
+    }
 }
--- a/packages/scheduling/src/testing/freeCapacityChooser.ts
+++ b/packages/scheduling/src/testing/freeCapacityChooser.ts
@@ -27,8 +27,8 @@
         return preferred.at(-1);
     }
 
-    private computeWeight({ slots, ownInFlight, expectedOthersBusy, responseMs, recentFailures, readiness }: UpstreamCandidate): number {
+    private computeWeight({ slots, ownInFlight, expectedOthersBusy, responseMs, failedPart, readiness }: UpstreamCandidate): number {
         const freeSlots = Math.max(minFreeSlots, slots * readiness - ownInFlight - expectedOthersBusy);
-        return freeSlots / ((baseResponseMs + responseMs) * (1 + recentFailures));
+        return freeSlots / ((baseResponseMs + responseMs) * (1 + 8 * failedPart));
     }
 }
--- a/packages/scheduling/src/testing/loadScenario.ts
+++ b/packages/scheduling/src/testing/loadScenario.ts
@@ -13,6 +13,8 @@
     readonly sharesNews: boolean;
     /** Whether the last upstream is slow. */
     readonly isLastSlow: boolean;
+    /** Part of the requests that the last upstream fails after it ran them; others succeed in between. */
+    readonly failingPart: number;
     readonly swings: boolean;
     /** Time in which the last upstream fails every request. */
     readonly outage?: { readonly fromMs: number; readonly toMs: number; };
--- a/packages/scheduling/src/testing/loadScenarios.ts
+++ b/packages/scheduling/src/testing/loadScenarios.ts
@@ -8,6 +8,7 @@
     writesPerSecond: 0,
     sharesNews: true,
     isLastSlow: false,
+    failingPart: 0,
     swings: false,
 };
 /** The two replicas of a group run 533 reads a second; its primary also has writes for a quarter of its slots. */
@@ -31,6 +32,10 @@
         scenarios[`equal, slow, news ${newsIntervalMs} ms`] = { ...six, isLastSlow: true };
         scenarios[`equal, outage, news ${newsIntervalMs} ms`] = { ...six, outage };
         scenarios[`equal, swing, news ${newsIntervalMs} ms`] = { ...six, swings: true };
+        scenarios[`equal, fails 5%, news ${newsIntervalMs} ms`] = { ...six, failingPart: 0.05 };
+        scenarios[`equal, fails 50%, news ${newsIntervalMs} ms`] = { ...six, failingPart: 0.5 };
+        scenarios[`group, fails 5%, news ${newsIntervalMs} ms`] = { ...three, failingPart: 0.05 };
+        scenarios[`group, fails 50%, news ${newsIntervalMs} ms`] = { ...three, failingPart: 0.5 };
         scenarios[`group, slow, news ${newsIntervalMs} ms`] = { ...three, isLastSlow: true };
         scenarios[`group, outage, news ${newsIntervalMs} ms`] = { ...three, outage };
         scenarios[`group, swing, news ${newsIntervalMs} ms`] = { ...three, swings: true };
--- a/packages/scheduling/src/upstreamCandidate.ts
+++ b/packages/scheduling/src/upstreamCandidate.ts
@@ -10,8 +10,8 @@
     readonly responseMs: number;
     /** Consecutive commands without a response. */
     readonly consecutiveFailures: number;
-    /** Recent failures, each discounted by its age. */
-    readonly recentFailures: number;
+    /** Part of the recent commands that failed, each discounted by its age. */
+    readonly failedPart: number;
     /** Fraction of the slots that new work may count on, from above 0 to 1. It is below 1 after the upstream was out of reach. */
     readonly readiness: number;
     /** Load per slot by which the other upstreams must be busier than this one before it is chosen; for zone, role and lag. */
--- a/packages/session/src/entry/describeChoice.ts
+++ b/packages/session/src/entry/describeChoice.ts
@@ -7,7 +7,7 @@
         othersBusy: Number(choice.expectedOthersBusy.toFixed(2)),
         newsAgeMs: choice.newsAgeMs === undefined ? undefined : Math.round(choice.newsAgeMs),
         responseMs: Math.round(choice.responseMs),
-        failures: Number(choice.recentFailures.toFixed(2)),
+        failedPart: Number(choice.failedPart.toFixed(2)),
         readiness: Number(choice.readiness.toFixed(2)),
     };
 }
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -149,7 +149,7 @@
             newsAgeMs: slots.newsAgeMs,
             responseMs: pool.responseTimes.recentMs,
             consecutiveFailures: pool.consecutiveFailures,
-            recentFailures: failures.computeRecentFailures(now),
+            failedPart: failures.computeFailedPart(now),
             readiness: failures.computeReadiness(now),
             preferencePenalty: this.computePreferencePenalty(group, pool, floor),
             tier: (upstream.isLeaving ? leavingTier : 0) + tried + (pool.isUnavailable ? unavailableTier : 0),
