--- a/packages/session/src/diagnostics.ts
+++ b/packages/session/src/diagnostics.ts
@@ -19,4 +19,5 @@
     keyNotAccepted: createDiagnostic(1820, "the key gives no access to this database", "Log in with a current key of the tenant; nothing ran."),
     quotaExceeded: createDiagnostic(1821, "the tenant is above its limit; retry after {0} ms", "Retry after the stated time, or raise the tenant's limit."),
     upstreamFailed: createDiagnostic(1810, "the upstream answered: {0}", "See the log of the upstream."),
+    callerLeft: createDiagnostic(1830, "the caller closed its connection before the statement was sent", "Nothing; the statement did not run."),
 } as const satisfies Readonly<Record<string, DiagnosticMessage>>;
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -11,6 +11,7 @@
 import { StatementKind } from "../model/statementKind";
 import { TransactionState } from "../model/transactionState";
 import { WorkClass } from "../model/workClass";
+import { Abandonment } from "./abandonment";
 import { admitOperation } from "./admitOperation";
 import { CallerIdentity } from "./callerIdentity";
 import { CallerRequest } from "./callerRequest";
@@ -47,11 +48,16 @@
     /** Local time in milliseconds at which the latest transaction began. */
     private transactionBegunAt = 0;
     private lastStatementEndedOperation = false;
+    private readonly abandonment: Abandonment | undefined;
 
     private constructor(private readonly channel: CallerChannel, private readonly context: SessionContext) {
         this.identity = CallerIdentity.create(context.cluster, channel.database, channel.credential);
         channel.forgetCredential();
         this.log = SessionLog.create(channel, context);
+        if (!context.dropsAbandonedWork) return;
+        const abandonment = Abandonment.create();
+        this.abandonment = abandonment;
+        channel.onClosed(() => abandonment.abandon());
     }
 
     public static create(channel: CallerChannel, context: SessionContext): CallerSession {
@@ -71,7 +77,7 @@
             for (;;) {
                 const statement = yield* this.waitForStatement();
                 if (!this.identity.isPermitted) return this.endWithoutKey(statement);
-                if (statement === undefined) return;
+                if (statement === undefined || this.abandonment?.isAbandoned === true) return;
                 yield* this.respondToStatement(statement, this.context.clock.now());
                 if (this.isBetweenOperations && this.context.shutdown.closesSessionsBetweenOperations) return;
             }
@@ -203,7 +209,8 @@
 
     private createRequest(statement: CallerStatement, workClass: WorkClass, receivedAt: number, readOnly: boolean, mayRead: boolean): CallerRequest {
         const { tenant } = this.identity;
-        return { id: statement.id, workClass, tenant, session: this.sessionValues, floors: this.floors, receivedAt, readOnly, mayRead };
+        const { abandonment, sessionValues, floors } = this;
+        return { id: statement.id, workClass, tenant, abandonment, session: sessionValues, floors, receivedAt, readOnly, mayRead };
     }
 
     private *runDataStatement(statement: CallerStatement, receivedAt: number): Operation<void> {
@@ -244,7 +251,7 @@
     }
 
     private sendRecorded(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome): void {
-        this.log.recordOutcome(statement, workClass, receivedAt, outcome);
+        this.log.recordOutcome(statement, workClass, receivedAt, outcome, this.abandonment?.isAbandoned === true);
         this.sendOutcome(outcome);
     }
 }
--- a/packages/session/src/entry/sessionLog.ts
+++ b/packages/session/src/entry/sessionLog.ts
@@ -11,10 +11,11 @@
         return new SessionLog(channel, context);
     }
 
-    /** Records the outcome of a statement that was received at the local time `receivedAt` in milliseconds. */
-    public recordOutcome(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome): void {
+    /** Records the outcome of a statement that was received at the local time `receivedAt` in milliseconds. `callerLeft`: its caller has left meanwhile. */
+    public recordOutcome(statement: CallerStatement, workClass: string, receivedAt: number, outcome: StatementOutcome, callerLeft: boolean): void {
         const latencyMs = this.context.clock.now() - receivedAt;
         this.context.metrics.recordStatement(workClass, outcome.error, latencyMs);
+        if (callerLeft) this.context.metrics.recordAbandoned(workClass, outcome.error);
         if (outcome.error === undefined) return;
         this.context.decisions.logFailed("statement.failed", {
             req: statement.id,
@@ -23,6 +24,7 @@
             kind: statement.kind,
             error: outcome.error,
             ms: Math.round(latencyMs),
+            callerLeft: callerLeft ? true : undefined,
             text: outcome.text,
         });
     }
--- a/packages/session/src/testing/fakeCallerChannel.ts
+++ b/packages/session/src/testing/fakeCallerChannel.ts
@@ -16,14 +16,28 @@
     public readonly sendReady = (): void => void this.responses.push("ready");
     public readonly sendSuccess = (): void => void this.responses.push("ok");
     public readonly forgetCredential = (): void => void (this.credential = undefined);
-    public readonly close = (): void => void (this.isClosed = true);
+    private readonly closeListeners: (() => void)[] = [];
 
     private constructor(public credential: string | undefined) {}
 
-    public static create(credential: string | undefined): FakeCallerChannel {
+    public static create(credential?: string): FakeCallerChannel {
         return new FakeCallerChannel(credential);
     }
 
+    public sendStatement(statement: CallerStatement): void {
+        this.statements.send(statement);
+    }
+
+    public onClosed(listener: () => void): void {
+        this.closeListeners.push(listener);
+    }
+
+    public close(): void {
+        this.isClosed = true;
+        this.statements.send(undefined);
+        for (const listener of this.closeListeners.splice(0)) listener();
+    }
+
     public receive(): Operation<CallerStatement | undefined> {
         return this.statements.receive();
     }
--- a/packages/session/src/testing/sessionTestBed.ts
+++ b/packages/session/src/testing/sessionTestBed.ts
@@ -38,6 +38,7 @@
         cluster: this.bed.cluster,
         executors: { select: () => this.executor } as unknown as ExecutorSelector,
         shutdown: Shutdown.create(this.bed.clock),
+        dropsAbandonedWork: false,
         admission: { admit: tenant => this.admit(tenant) },
     };
     private version = 0;
--- a/packages/session/src/upstream/poolConnections.ts
+++ b/packages/session/src/upstream/poolConnections.ts
@@ -2,6 +2,7 @@
 import { Operation } from "@vanillarouter/base/operation";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { Err, Ok, Result } from "ts-results";
+import { hasCallerLeft } from "../entry/hasCallerLeft";
 import { ErrorKind } from "../model/errorKind";
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { ConnectionChoice } from "./connectionChoice";
@@ -14,6 +15,7 @@
 import { estimateConnectionCostMs } from "./estimateConnectionCostMs";
 import { IdleConnections } from "./idleConnections";
 import { PoolLimits } from "./poolLimits";
+import { runUnlessAbandoned } from "./runUnlessAbandoned";
 import { SlotRequest } from "./slotRequest";
 import { TenantDemand } from "./tenantDemand";
 import { TransactionCounts } from "./transactionCounts";
@@ -86,6 +88,7 @@
             if (choice.kind === ConnectionChoiceKind.Reuse) return Ok(this.take(request));
             const now = this.clock.now();
             if (this.isClosed || now >= request.waitDeadline) return Err(ErrorKind.Busy);
+            if (hasCallerLeft(request)) return this.passOn();
             if (choice.kind === ConnectionChoiceKind.Open) {
                 const dialed = yield* this.dial(request.tenant, choice.evicted, request.opensTransaction);
                 if (dialed.ok) this.recordDemand(request.tenant);
@@ -112,6 +115,7 @@
             if (kind === ConnectionChoiceKind.Reuse && hasWaited) return Ok(this.take(request));
             if (kind !== ConnectionChoiceKind.Wait) return Ok(undefined);
             if (this.isClosed || now >= deadline) return Err(ErrorKind.Busy);
+            if (hasCallerLeft(request)) return this.passOn();
             if (this.isUnavailable) return Err(ErrorKind.Other);
             yield* this.wait(request, request.receivedAt, deadline - now);
         }
@@ -190,7 +194,14 @@
             this.isClosed || this.isUnavailable ? ConnectionChoiceKind.Open : this.choose(request.tenant, request.opensTransaction).kind;
         const waitMs = Math.max(1, Math.min(maxWaitMs, recheckIntervalMs));
         const owner = `${request.tenant ?? ""} ${request.opensTransaction === true}`;
-        yield* withTimeout(this.clock, waitMs, this.queue.wait({ rank: request.workClass.rank, since, owner, choose }));
+        const wait = this.queue.wait({ rank: request.workClass.rank, since, owner, choose });
+        yield* withTimeout(this.clock, waitMs, runUnlessAbandoned(request.abandonment, () => false, wait));
+    }
+
+    /** Ends the wait of a request whose caller has left. It may have been woken for a connection that the next waiter can use. */
+    private passOn(): Result<never, ErrorKind> {
+        this.queue.wakeFirst(true);
+        return Err(ErrorKind.Busy);
     }
 
     /** Opens a connection. One that makes room for it is closed after the new one counts, so that no other work takes the place. */
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -3,7 +3,9 @@
 import { LogPosition } from "@vanillarouter/base/logPosition";
 import { Operation } from "@vanillarouter/base/operation";
 import { withTimeout } from "@vanillarouter/base/withTimeout";
+import { FailureHistory } from "@vanillarouter/scheduling/failureHistory";
 import { Err, Ok, Result } from "ts-results";
+import { hasCallerLeft } from "../entry/hasCallerLeft";
 import { CommandKind } from "../model/commandKind";
 import { ErrorKind } from "../model/errorKind";
 import { TransactionState } from "../model/transactionState";
@@ -34,6 +36,7 @@
     public readonly slots: UpstreamSlots;
     public readonly listener: ListenerCheck;
     private readonly connections: PoolConnections;
+    public readonly failures = FailureHistory.create();
     private isClosed = false;
 
     private constructor(
@@ -140,7 +143,12 @@
                 if (obtained === undefined || obtained.err) return obtained;
                 connection = obtained.val;
             }
-            if (yield* connection.applySession(request.session)) return Ok(yield* operation(connection));
+            const isReady = yield* connection.applySession(request.session);
+            if (isReady && !hasCallerLeft(request)) return Ok(yield* operation(connection));
+            if (isReady) {
+                this.returnConnection(connection);
+                return Err(ErrorKind.Busy);
+            }
             this.discard(connection);
             connection = undefined;
         }
@@ -170,6 +178,7 @@
         this.consecutiveFailures = 0;
         this.lastResponseAt = this.clock.now();
         this.listener.recordResponse();
+        this.failures.recordResponse(this.lastResponseAt);
         if (applied !== undefined && (this.applied === undefined || compareLogPositions(applied, this.applied) !== 0)) this.applied = applied;
     }
 
@@ -179,6 +188,7 @@
 
     public recordFailure(): void {
         this.consecutiveFailures++;
+        this.failures.recordLostResponse(this.clock.now());
     }
 
     /** Closes every connection. Statements in flight end without a response. */
--- a/packages/session/src/upstream/upstreamPools.ts
+++ b/packages/session/src/upstream/upstreamPools.ts
@@ -83,6 +83,8 @@
             hasTenants: () => this.hasTenants,
         };
         const pool = UpstreamPool.create(upstream, this.clock, this.dialer, limits, this.observer);
+        // The upstream was restarted: its work and its connections are gone.
+        if (known !== undefined) pool.failures.recordReturn(this.clock.now());
         this.pools.set(upstream.id, pool);
         return pool;
     }
