Shorten the keys of the soak and hold a valid key to every login

A refusal of the key that is to be withdrawn was allowed before its withdrawal, too; it is a violation now. The change of the keys is one time instead of a period for each key.

--- a/packages/bench/src/soak/soakKeys.ts
+++ b/packages/bench/src/soak/soakKeys.ts
@@ -2,7 +2,6 @@
 
 /** Time in milliseconds after which a withdrawn key must not be served and an added one must be. */
 const applyMs = 5_000;
-const permanent = { addedAt: -Infinity, withdrawnAt: Infinity };
 const withdrawnKey = "withdrawn-key";
 const addedKey = "added-key";
 
@@ -11,68 +10,59 @@
  * so the time to apply the change counts from the end of all faults.
  */
 export class SoakKeys {
-    private readonly periods = new Map<string, { readonly addedAt: number; readonly withdrawnAt: number; }>();
+    /** Times on the clock of `performance`; infinite before the event. */
+    private rotatedAt = Infinity;
     private faultsEndedAt = Infinity;
 
-    private constructor(private readonly tenantCount: number) {
-        for (let tenant = 1; tenant <= tenantCount; tenant++) this.periods.set(`key-${tenant}`, permanent);
-        if (tenantCount === 0) return;
-        this.periods.set(withdrawnKey, permanent);
-        this.periods.set(addedKey, { addedAt: Infinity, withdrawnAt: Infinity });
-    }
+    private constructor(private readonly tenantCount: number) {}
 
-    /** Without tenants, callers are not authenticated and use any key. */
+    /** Without tenants, callers are not authenticated. */
     public static create(tenantCount: number): SoakKeys {
         return new SoakKeys(tenantCount);
     }
 
-    /** The key of the caller with this number. */
-    public choose(callerNumber: number): string {
-        const keys = [...this.periods.keys()];
-        return keys[callerNumber % keys.length] ?? "any";
-    }
-
     /** A key that is valid after `rotate`. */
     public get lastKey(): string {
-        return this.tenantCount === 0 ? "any" : addedKey;
+        return addedKey;
+    }
+
+    /** The key of the caller with this number. */
+    public choose(callerNumber: number): string {
+        const index = callerNumber % (this.tenantCount + 2);
+        return [withdrawnKey, addedKey][index] ?? `key-${index - 2}`;
     }
 
     /** Puts a configuration with the keys in force. */
     public configure(platform: LinePlatform, version: number): void {
-        const isValid = (key: string): boolean => this.periods.get(key)!.addedAt !== Infinity && this.periods.get(key)!.withdrawnAt === Infinity;
-        const rotating = [withdrawnKey, addedKey];
-        const entries = Array.from(
+        const rotating = this.rotatedAt === Infinity ? withdrawnKey : addedKey;
+        const tenants = Array.from(
             { length: this.tenantCount },
-            (_, index) => [`tenant-${index + 1}`, [`key-${index + 1}`, ...index === 0 ? rotating : []]] as const,
+            (_, index) => [`tenant-${index}`, [`key-${index}`, ...index === 0 ? [rotating] : []]] as const,
         );
-        platform.keysByTenant = this.tenantCount === 0 ? undefined : Object.fromEntries(entries.map(([name, keys]) => [name, keys.filter(isValid)]));
+        platform.keysByTenant = this.tenantCount === 0 ? undefined : Object.fromEntries(tenants);
         platform.putConfiguration(version);
     }
 
     /** Withdraws one key and adds another one in the same version. */
     public rotate(platform: LinePlatform, version: number): void {
-        if (this.tenantCount === 0) return;
-        const now = performance.now();
-        this.periods.set(withdrawnKey, { addedAt: -Infinity, withdrawnAt: now });
-        this.periods.set(addedKey, { addedAt: now, withdrawnAt: Infinity });
+        this.rotatedAt = performance.now();
         this.configure(platform, version);
     }
 
     /** Records the end of all faults. Returns the time in milliseconds after which every VM must have applied the change. */
     public endFaults(): number {
         this.faultsEndedAt = performance.now();
-        return this.tenantCount === 0 ? 0 : applyMs;
+        return applyMs;
     }
 
-    /** Whether a statement that was sent with the key at `sentAt`, on the clock of `performance`, may have run. */
+    /** Whether a statement that was sent with the key at `sentAt` may have run. */
     public mayServe(key: string, sentAt: number): boolean {
-        const { addedAt, withdrawnAt } = this.periods.get(key) ?? permanent;
-        return sentAt >= addedAt && sentAt <= Math.max(withdrawnAt, this.faultsEndedAt) + applyMs;
+        if (this.tenantCount === 0) return true;
+        return key === withdrawnKey ? sentAt <= this.faultsEndedAt + applyMs : key !== addedKey || sentAt >= this.rotatedAt;
     }
 
-    /** Whether a login or statement that was sent with the key at `sentAt` may be refused because of the key. */
+    /** Whether a login or statement that was sent with the key at `sentAt` may have been refused by now because of the key. */
     public mayRefuse(key: string, sentAt: number): boolean {
-        const { addedAt, withdrawnAt } = this.periods.get(key) ?? permanent;
-        return withdrawnAt !== Infinity || (addedAt !== -Infinity && sentAt <= Math.max(addedAt, this.faultsEndedAt) + applyMs);
+        return key === withdrawnKey ? this.rotatedAt !== Infinity : key === addedKey && sentAt <= this.faultsEndedAt + applyMs;
     }
 }
