Count only responses to statements against an upstream's failures

Cause: responses to status commands counted as successes, so an upstream that fails statements while its health check is good looked well.

Change: FailureHistory.recordResult takes the responses to statements, also those in transactions; a status only ends an outage. The request for a slot is built in one place, TargetFinder.createSlotRequest, instead of two.

Result: statementRunner.test.ts has 200 statuses between the failure and the reads; it fails if statuses count.

--- a/packages/scheduling/src/evenLoad.test.ts
+++ b/packages/scheduling/src/evenLoad.test.ts
@@ -89,8 +89,8 @@
 test("failures raise an upstream's cost although responses arrive in between, and their effect fades", () => {
     const history = FailureHistory.create();
     for (let now = 0; now < 500; now += 100) {
-        history.recordError(now);
-        history.recordResponse(now + 50);
+        history.recordResult(true, now);
+        history.recordResult(false, now + 50);
     }
     const healthy = createCandidate({ id: "healthy", ownInFlight: 4 });
     const describe = (now: number): UpstreamCandidate =>
--- a/packages/scheduling/src/failureHistory.ts
+++ b/packages/scheduling/src/failureHistory.ts
@@ -1,6 +1,6 @@
-/** Time in which the weight of a response or failure halves. */
+/** Time in which the weight of a result halves. */
 const halfLifeMs = 1_000;
-/** Responses that are assumed beside the recent ones, so that a single failure counts for a part only and a past one for nothing. */
+/** Successes that are assumed beside the recent results, so that a single failure counts for a part only and a past one for nothing. */
 const assumedResponses = 2;
 /** Time in which an upstream that responds again gets back to its full share of work. */
 const recoveryMs = 2_000;
@@ -17,7 +17,7 @@
  */
 export class FailureHistory {
     private failures = 0;
-    private responses = 0;
+    private successes = 0;
     private updatedAt = 0;
     private lostResponses = 0;
     private returnedAt = Number.NEGATIVE_INFINITY;
@@ -30,19 +30,19 @@
 
     /** Records a command or dial without a response. */
     public recordLostResponse(now: number): void {
-        this.recordError(now);
+        this.recordResult(true, now);
         this.lostResponses++;
     }
 
-    /** Records a response that says that the upstream failed the command. */
-    public recordError(now: number): void {
+    /** Records the response to a statement. A status is none: an upstream may fail statements although its status is good. */
+    public recordResult(isFailure: boolean, now: number): void {
         this.fade(now);
-        this.failures++;
+        if (isFailure) this.failures++;
+        else this.successes++;
     }
 
+    /** Records that the upstream responds, whatever the command. */
     public recordResponse(now: number): void {
-        this.fade(now);
-        this.responses++;
         if (this.lostResponses >= outageFailures) this.recordReturn(now);
         this.lostResponses = 0;
     }
@@ -52,10 +52,10 @@
         this.returnedAt = now;
     }
 
-    /** Returns the part of the recent commands that failed, each discounted by its age; 0 if there were none for long. */
+    /** Returns the part of the recent statements that failed, each discounted by its age; 0 if there were none for long. */
     public computeFailedPart(now: number): number {
         const weight = this.computeWeight(now);
-        return this.failures * weight / ((this.failures + this.responses) * weight + assumedResponses);
+        return this.failures * weight / ((this.failures + this.successes) * weight + assumedResponses);
     }
 
     /** Returns the fraction of the upstream's slots that new work may count on, which rises from `initialReadiness` to 1 after an outage. */
@@ -67,7 +67,7 @@
     private fade(now: number): void {
         const weight = this.computeWeight(now);
         this.failures *= weight;
-        this.responses *= weight;
+        this.successes *= weight;
         this.updatedAt = now;
     }
 
--- a/packages/scheduling/src/testing/loadReplay.ts
+++ b/packages/scheduling/src/testing/loadReplay.ts
@@ -172,8 +172,9 @@
             view.consecutiveFailures = 0;
             view.failures.recordResponse(now);
             this.recordResponse(view, now - sentAt);
-            if (index === this.upstreams.length - 1 && this.failureRandom.next() < this.scenario.failingPart) {
-                view.failures.recordError(now);
+            const isFailure = index === this.upstreams.length - 1 && this.failureRandom.next() < this.scenario.failingPart;
+            view.failures.recordResult(isFailure, now);
+            if (isFailure) {
                 retry();
                 return;
             }
--- a/packages/scheduling/src/upstreamCandidate.ts
+++ b/packages/scheduling/src/upstreamCandidate.ts
@@ -10,7 +10,7 @@
     readonly responseMs: number;
     /** Consecutive commands without a response. */
     readonly consecutiveFailures: number;
-    /** Part of the recent commands that failed, each discounted by its age. */
+    /** Part of the recent statements that failed, each discounted by its age. */
     readonly failedPart: number;
     /** Fraction of the slots that new work may count on, from above 0 to 1. It is below 1 after the upstream was out of reach. */
     readonly readiness: number;
--- a/packages/session/src/entry/openTransaction.ts
+++ b/packages/session/src/entry/openTransaction.ts
@@ -128,7 +128,7 @@
         const forwarded = yield* target.pool.continueTransaction(slotRequest, () => this.sendStatement(statement, connection, deadline));
         if (forwarded.err) return forwarded;
         if (forwarded.val === undefined) target.pool.recordFailure();
-        else target.pool.recordResponse(forwarded.val.applied);
+        else target.pool.recordResult(forwarded.val);
         return forwarded;
     }
 
@@ -205,9 +205,7 @@
     }
 
     private *beginAt(target: Target, waitDeadline: number, deadline: number): Operation<boolean> {
-        const { session, workClass, tenant, abandonment, receivedAt } = this.req;
-        const slotDeadline = this.context.targets.chooseSlotDeadline(this.req, waitDeadline);
-        const slotRequest = { session, workClass, tenant, abandonment, receivedAt, deadline: slotDeadline, waitDeadline };
+        const slotRequest = this.context.targets.createSlotRequest(this.req, waitDeadline);
         const ran = yield* target.pool.run(slotRequest, connection => this.sendBegin(target, connection, deadline));
         if (ran.err) {
             if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) this.group.primaryTracker.suspect(`dial failed: ${ran.val}`);
--- a/packages/session/src/entry/statementRunner.test.ts
+++ b/packages/session/src/entry/statementRunner.test.ts
@@ -177,6 +177,7 @@
     assert.ok(count(calm, "u2") >= 10 && count(calm, "u3") >= 10, String(calm));
     bed.fakeGroup.find("u2").nextErrors = [ErrorKind.Failed];
     readByExpectedLoad(bed, "b", 10);
+    for (let index = 0; index < 200; index++) bed.run(bed.pools.find("u2")!.runControl(CommandKind.Status, 100));
     const failing = readByExpectedLoad(bed, "c", 20);
     assert.equal(count(failing, "u2"), 0, String(failing));
     bed.clock.advance(10_000);
--- a/packages/session/src/entry/statementRunner.ts
+++ b/packages/session/src/entry/statementRunner.ts
@@ -31,8 +31,6 @@
 const slowUpstreamTimeoutFactor = 4;
 /** Response time that is recorded for a `Busy` error, so that reads avoid the upstream. */
 const busyResponseTimeMs = 500;
-/** Errors by which an upstream failed a statement that it could have run. */
-const upstreamFaults: ReadonlySet<ErrorKind> = new Set([ErrorKind.Failed, ErrorKind.TimedOut, ErrorKind.Other]);
 /** A primary that takes longer than this to respond is suspected to have failed. */
 const slowPrimaryMs = 250;
 
@@ -153,9 +151,7 @@
         waitDeadline: number,
         deadline: number,
     ): Operation<StatementOutcome> {
-        const { session, workClass, tenant, abandonment, receivedAt } = req;
-        const slotDeadline = this.context.targets.chooseSlotDeadline(req, waitDeadline);
-        const slotRequest = { session, workClass, tenant, abandonment, receivedAt, deadline: slotDeadline, waitDeadline };
+        const slotRequest = this.context.targets.createSlotRequest(req, waitDeadline);
         const ran = yield* target.pool.run(slotRequest, connection => this.runOnConnection(group, req, statement, target, connection, deadline));
         if (ran.ok) return yield* this.evaluateAttempt(group, req, target, ran.val, deadline);
         if (target.primaryTerm !== undefined && ran.val !== ErrorKind.Busy) group.primaryTracker.suspect(`dial failed: ${ran.val}`);
@@ -241,10 +237,9 @@
         sentAt: ClockReading,
         deadline: number,
     ): Operation<StatementOutcome> {
-        target.pool.recordResponse(response.applied);
+        target.pool.recordResult(response);
         target.pool.responseTimes.add(response.error === ErrorKind.Busy ? busyResponseTimeMs : this.context.clock.now() - sentAt.at);
         if (response.error !== undefined) {
-            if (upstreamFaults.has(response.error)) target.pool.failures.recordError(this.context.clock.now());
             if (response.error === ErrorKind.ReadOnly) group.primaryTracker.suspect("the primary rejected a write as read-only");
             return createFailedOutcome(response.error, Diagnostics.upstreamFailed, response.errorText);
         }
--- a/packages/session/src/entry/targetFinder.ts
+++ b/packages/session/src/entry/targetFinder.ts
@@ -12,6 +12,7 @@
 import { ServiceGroup } from "../cluster/serviceGroup";
 import { PositionSample } from "../freshness/positionSample";
 import { Freshness } from "../model/freshness";
+import { SlotRequest } from "../upstream/slotRequest";
 import { UpstreamPool } from "../upstream/upstreamPool";
 import { CallerRequest } from "./callerRequest";
 import { ReadCandidate } from "./readCandidate";
@@ -70,11 +71,17 @@
         return primary === undefined ? undefined : { pool: primary.pool, primaryTerm: primary.term, ...evidence };
     }
 
+    /** Returns the request for a slot in which the operation's first statement runs. */
+    public createSlotRequest(req: CallerRequest, waitDeadline: number): SlotRequest {
+        const { session, workClass, tenant, abandonment, receivedAt } = req;
+        return { session, workClass, tenant, abandonment, receivedAt, deadline: this.chooseSlotDeadline(req, waitDeadline), waitDeadline };
+    }
+
     /**
      * Returns the time by which a request must be served: its latency target, or `waitDeadline` if it has already waited so long,
      * as for a failover, that it could hardly meet the target.
      */
-    public chooseSlotDeadline(req: CallerRequest, waitDeadline: number): number {
+    private chooseSlotDeadline(req: CallerRequest, waitDeadline: number): number {
         const { targetMs } = req.workClass;
         const isTargetFeasible = this.clock.now() < req.receivedAt + targetMs * feasibleTargetFraction;
         return isTargetFeasible ? req.receivedAt + targetMs : waitDeadline;
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -12,7 +12,9 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { UpstreamEntry } from "../model/upstreamEntry";
+import { UpstreamResponse } from "../model/upstreamResponse";
 import { UpstreamStatus } from "../model/upstreamStatus";
+import { isUpstreamFault } from "./isUpstreamFault";
 import { PoolLimits } from "./poolLimits";
 import { ResponseTimeAverage } from "./responseTimeAverage";
 import { runUnlessAbandoned } from "./runUnlessAbandoned";
@@ -157,6 +159,12 @@
         if (applied !== undefined && (this.applied === undefined || compareLogPositions(applied, this.applied) !== 0)) this.applied = applied;
     }
 
+    /** Records the response to a statement. */
+    public recordResult(response: UpstreamResponse): void {
+        this.recordResponse(response.applied);
+        this.failures.recordResult(isUpstreamFault(response.error), this.lastResponseAt);
+    }
+
     public recordFailure(): void {
         this.consecutiveFailures++;
         this.failures.recordLostResponse(this.clock.now());
