--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -11,9 +11,11 @@
 import { TransactionState } from "../model/transactionState";
 import { UpstreamDialer } from "../model/upstreamDialer";
 import { UpstreamEntry } from "../model/upstreamEntry";
+import { UpstreamResponse } from "../model/upstreamResponse";
 import { UpstreamStatus } from "../model/upstreamStatus";
 import { ConnectionObserver } from "./connectionObserver";
 import { ConnectionReporter } from "./connectionReporter";
+import { isUpstreamFault } from "./isUpstreamFault";
 import { ListenerCheck } from "./listenerCheck";
 import { PoolConnections } from "./poolConnections";
 import { PoolLimits } from "./poolLimits";
@@ -186,6 +188,12 @@
         this.recordResponse(undefined);
     }
 
+    /** Records the response to a statement. */
+    public recordResult(response: UpstreamResponse): void {
+        this.recordResponse(response.applied);
+        this.failures.recordResult(isUpstreamFault(response.error), this.lastResponseAt);
+    }
+
     public recordFailure(): void {
         this.consecutiveFailures++;
         this.failures.recordLostResponse(this.clock.now());
