Decide the quotas of tenants: parts, keepers and tokens

A tenant's limit holds over all VMs, while its requests come through few of them. The limit is divided into 3 to 8 parts with a token bucket each; each part is kept by one VM, chosen by rendezvous hashing, which grants tokens only while its own entry is surely in the member list.

--- a/packages/session/src/model/memberEntry.ts
+++ b/packages/session/src/model/memberEntry.ts
@@ -8,4 +8,6 @@
     readonly capacity: number;
     /** Whether the VM is about to stop and accepts no new work. */
     readonly isLeaving: boolean;
+    /** Whether the VM has been listed for so long that it keeps quotas; undefined if not. */
+    readonly isSettled?: boolean;
 }
--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -11,6 +11,9 @@
     vanillarouter_relayed_total: "Calls of gateways by service and outcome.",
     vanillarouter_store_calls_total: "Calls to the platform's store by kind and answer.",
     vanillarouter_store_changes_total: "Changes of the platform's store by whether they were newer than the known state.",
+    vanillarouter_quota_admissions_total: "Operations of tenants with a quota by whether they were admitted or refused.",
+    vanillarouter_quota_requests_total: "Requests for tokens by outcome: granted in part or whole, refused, or lost with their keeper.",
+    vanillarouter_quota_grants_total: "Tokens that this VM granted as a keeper, and refused by reason.",
     vanillarouter_promotions_total: "Promotions by service and outcome.",
 };
 
