Keep the quotas of tenants over all VMs

The messages `quota` and `granted` on the links between VMs ask a keeper for tokens; a VM asks itself without a link.

--- a/packages/relay/src/relay.test.ts
+++ b/packages/relay/src/relay.test.ts
@@ -1,6 +1,8 @@
 import { ErrorKind } from "@vanillarouter/session/model/errorKind";
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import { StoreChanges } from "@vanillarouter/session/model/storeChanges";
+import { QuotaGrant } from "@vanillarouter/session/quota/quotaGrant";
+import { QuotaRequest } from "@vanillarouter/session/quota/quotaRequest";
 import * as fc from "fast-check";
 import assert from "node:assert/strict";
 import { once } from "node:events";
@@ -9,6 +11,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { describeOperation } from "./describeOperation";
 import { RelayLimits } from "./relayLimits";
+import { RelayQuotaKeepers } from "./relayQuotaKeepers";
 import { relayRequestSchema } from "./relayRequestSchema";
 import { RelayTestBed } from "./testing/relayTestBed";
 
@@ -287,3 +290,32 @@
     );
     assert.deepEqual(outcomes.map(outcome => outcome.rows[0]), ids.map(id => `row of ${id}`));
 });
+
+// Guards against tokens that are granted without a valid request: a wrong field must end the link, and a keeper that is gone grants nothing.
+test("a keeper grants tokens over a link, and this VM grants its own without one", async context => {
+    const bed = await startBed(context, 1);
+    const granted: string[] = [];
+    const grantTokens = (name: string) => ({ tenant, part, count }: QuotaRequest): QuotaGrant => {
+        granted.push(`${name} ${tenant} ${part} ${count}`);
+        return { count: count - 1, retryMs: 40 };
+    };
+    bed.find("g1").grantTokens = grantTokens("g1");
+    const keepers = RelayQuotaKeepers.create("entry", bed.relayGateways, grantTokens("entry"));
+    const request = { tenant: "t", part: 7, count: 1_000 };
+    assert.deepEqual(await bed.run(keepers.ask({ ...bed.findMember("g1"), id: "entry" }, request)), { count: 999, retryMs: 40 });
+    assert.equal(bed.relayGateways.getOrCreate(bed.findMember("g1")).isLinked, false);
+    assert.deepEqual(await bed.run(keepers.ask(bed.findMember("g1"), request)), { count: 999, retryMs: 40 });
+    assert.deepEqual(granted, ["entry t 7 1000", "g1 t 7 1000"]);
+    const oddFields = [{ count: 0 }, { count: 1_001 }, { count: 1.5 }, { part: 8 }, { part: -1 }];
+    for (const fields of oddFields) {
+        assert.equal(await bed.run(keepers.ask(bed.findMember("g1"), { ...request, ...fields })), undefined, JSON.stringify(fields));
+    }
+    assert.equal(granted.length, 2);
+    bed.find("g1").grantTokens = () => ({ count: 1, retryMs: -1 });
+    assert.equal(await bed.run(keepers.ask(bed.findMember("g1"), request)), undefined);
+    const link = await bed.run(bed.relayGateways.getOrCreate(bed.findMember("g1")).obtainLink());
+    assert.equal(await bed.run(keepers.ask(bed.findMember("g1"), { ...request, tenant: "a".repeat(257) })), undefined);
+    assert.equal(link?.isOpen, true);
+    bed.kill("g1");
+    assert.equal(await bed.run(keepers.ask(bed.findMember("g1"), request)), undefined);
+});
--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -8,6 +8,8 @@
 import { CallerTransaction } from "@vanillarouter/session/model/callerTransaction";
 import { OperationExecutor } from "@vanillarouter/session/model/operationExecutor";
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
+import { QuotaGrant } from "@vanillarouter/session/quota/quotaGrant";
+import { QuotaRequest } from "@vanillarouter/session/quota/quotaRequest";
 import { ChangeLog } from "./changeLog";
 import { RelayLimits } from "./relayLimits";
 import { RelayRequest } from "./relayRequest";
@@ -16,6 +18,7 @@
 type RunRequest = Extract<RelayRequest, { readonly kind: "run"; }>;
 type TransactRequest = Extract<RelayRequest, { readonly kind: "transact"; }>;
 type FollowRequest = Extract<RelayRequest, { readonly kind: "follow"; }>;
+type QuotaMessage = Extract<RelayRequest, { readonly kind: "quota"; }>;
 type RelayedOperation = RunRequest["operation"];
 
 interface HeldTransaction {
@@ -37,17 +40,22 @@
         private readonly executor: OperationExecutor,
         private readonly changeLog: ChangeLog,
         private readonly clock: Clock,
+        private readonly grantTokens: (request: QuotaRequest) => QuotaGrant,
     ) {}
 
-    /** `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit. */
+    /**
+     * `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit.
+     * `grantTokens` grants tokens of the parts of tenants' limits that this VM keeps.
+     */
     public static create(
         cluster: ClusterState,
         declinesService: (service: string) => boolean,
         executor: OperationExecutor,
         changeLog: ChangeLog,
         clock: Clock,
+        grantTokens: (request: QuotaRequest) => QuotaGrant,
     ): RelayRequestHandler {
-        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock);
+        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock, grantTokens);
     }
 
     /** Number of transactions that are open for the entry VM. */
@@ -92,6 +100,11 @@
         return { kind: "changes", call, changes, era, revision: latest.position.revision };
     }
 
+    /** Responds with the tokens that this VM grants. */
+    public grant({ call, tenant, part, count }: QuotaMessage): RelayResponse {
+        return { kind: "granted", call, ...this.grantTokens({ tenant, part, count }) };
+    }
+
     /** Rolls back a transaction, after its statement if one is running. A transaction that has committed is not affected. */
     public rollBack(transaction: number): void {
         const held = this.transactions.get(transaction);
--- a/packages/relay/src/relayRequestSchema.ts
+++ b/packages/relay/src/relayRequestSchema.ts
@@ -1,5 +1,6 @@
 import { Freshness } from "@vanillarouter/session/model/freshness";
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
+import { QuotaLimits } from "@vanillarouter/session/quota/quotaLimits";
 import * as z from "zod";
 import { lineSchema } from "./lineSchema";
 import { positionSchema } from "./positionSchema";
@@ -67,5 +68,13 @@
      * an era, because the revision may be one of a history that the store has lost.
      */
     z.object({ kind: z.literal("follow"), call: z.number(), era: z.number().optional(), after: z.number(), waitMs: z.number().max(maxWaitMs) }),
+    /** Asks the keeper of one part of a tenant's limit for tokens. */
+    z.object({
+        kind: z.literal("quota"),
+        call: z.number(),
+        tenant: z.string().max(QuotaLimits.maxTenantLength),
+        part: z.number().int().nonnegative().max(QuotaLimits.maxParts - 1),
+        count: z.number().int().positive().max(QuotaLimits.maxTokens),
+    }),
     z.object({ kind: z.literal("ping") }),
 ]);
--- a/packages/relay/src/relayResponseSchema.ts
+++ b/packages/relay/src/relayResponseSchema.ts
@@ -1,4 +1,5 @@
 import { ErrorKind } from "@vanillarouter/session/model/errorKind";
+import { QuotaLimits } from "@vanillarouter/session/quota/quotaLimits";
 import * as z from "zod";
 import { lineSchema } from "./lineSchema";
 import { positionSchema } from "./positionSchema";
@@ -33,5 +34,12 @@
         /** Revision from which the follower continues. */
         revision: z.number(),
     }),
+    /** Response to `quota`: the number of tokens, and the time in milliseconds before which the keeper need not be asked again. */
+    z.object({
+        kind: z.literal("granted"),
+        call: z.number(),
+        count: z.number().int().nonnegative().max(QuotaLimits.maxTokens),
+        retryMs: z.number().int().nonnegative().max(QuotaLimits.maxRetryMs),
+    }),
     z.object({ kind: z.literal("pong") }),
 ]);
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -95,6 +95,8 @@
                 return this.send(lineSocket, { kind: "pong" });
             case "check":
                 return this.send(lineSocket, { kind: handler.acceptsService(message.service) ? "ready" : "declined", call: message.call });
+            case "quota":
+                return this.send(lineSocket, handler.grant(message));
             case "roll-back":
                 return handler.rollBack(message.transaction);
             case "run":
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -15,6 +15,8 @@
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { DecisionLog } from "@vanillarouter/session/observability/decisionLog";
+import { QuotaGrant } from "@vanillarouter/session/quota/quotaGrant";
+import { QuotaRequest } from "@vanillarouter/session/quota/quotaRequest";
 import * as bunyan from "bunyan";
 import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
 import { ChangeFollower } from "../changeFollower";
@@ -39,6 +41,7 @@
     isSilent: boolean;
     declines: boolean;
     readonly changeLog: ChangeLog;
+    grantTokens: (request: QuotaRequest) => QuotaGrant;
 }
 
 /** A test fixture with one entry VM and several gateways on loopback, each behind a proxy that can drop bytes or close connections. */
@@ -126,7 +129,7 @@
             this.clock,
             this.tasks,
             this.log,
-            () => RelayRequestHandler.create(cluster, () => gateway.declines, executor, changeLog, this.clock),
+            () => RelayRequestHandler.create(cluster, () => gateway.declines, executor, changeLog, this.clock, request => gateway.grantTokens(request)),
         );
         const listener = server.createServer();
         const gateway: TestGateway = {
@@ -139,6 +142,7 @@
             isSilent: false,
             declines: false,
             changeLog,
+            grantTokens: ({ count }) => ({ count, retryMs: 0 }),
         };
         for (const opened of [listener, gateway.proxy]) await new Promise<void>(resolve => opened.listen(0, host, resolve));
         this.gateways.push(gateway);
