--- a/packages/relay/src/relayRequestHandler.ts
+++ b/packages/relay/src/relayRequestHandler.ts
@@ -11,6 +11,8 @@
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { StorePosition } from "@vanillarouter/session/model/storePosition";
+import { QuotaGrant } from "@vanillarouter/session/quota/quotaGrant";
+import { QuotaRequest } from "@vanillarouter/session/quota/quotaRequest";
 import { ChangeLog } from "./changeLog";
 import { RelayLimits } from "./relayLimits";
 import { RelayRequest } from "./relayRequest";
@@ -20,6 +22,7 @@
 type TransactRequest = Extract<RelayRequest, { readonly kind: "transact"; }>;
 type FollowRequest = Extract<RelayRequest, { readonly kind: "follow"; }>;
 type ConfigurationRequest = Extract<RelayRequest, { readonly kind: "configuration"; }>;
+type QuotaMessage = Extract<RelayRequest, { readonly kind: "quota"; }>;
 type RelayedOperation = RunRequest["operation"];
 
 interface HeldTransaction {
@@ -44,9 +47,14 @@
         private readonly changeLog: ChangeLog,
         private readonly clock: Clock,
         private readonly readNewerConfiguration: (after: StorePosition) => Operation<StoreChange | undefined>,
+        private readonly grantTokens: (request: QuotaRequest) => QuotaGrant,
     ) {}
 
-    /** `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit. `readNewerConfiguration` reads the configuration from the store if this VM knows that it changed after a position. */
+    /**
+     * `declinesService` returns whether this VM accepts no new work of a service: it reaches too few upstreams, or it is about to exit.
+     * `readNewerConfiguration` reads the configuration from the store if this VM knows that it changed after a position. `grantTokens`
+     * grants tokens of the parts of tenants' limits that this VM keeps.
+     */
     public static create(
         cluster: ClusterState,
         declinesService: (service: string) => boolean,
@@ -54,8 +62,9 @@
         changeLog: ChangeLog,
         clock: Clock,
         readNewerConfiguration: (after: StorePosition) => Operation<StoreChange | undefined>,
+        grantTokens: (request: QuotaRequest) => QuotaGrant,
     ): RelayRequestHandler {
-        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock, readNewerConfiguration);
+        return new RelayRequestHandler(cluster, declinesService, executor, changeLog, clock, readNewerConfiguration, grantTokens);
     }
 
     /** Number of transactions that are open for the entry VM. */
@@ -112,6 +121,11 @@
         this.running.get(call)?.abandon();
     }
 
+    /** Responds with the tokens that this VM grants. */
+    public grant({ call, tenant, part, count }: QuotaMessage): RelayResponse {
+        return { kind: "granted", call, ...this.grantTokens({ tenant, part, count }) };
+    }
+
     /** Rolls back a transaction, after its statement if one is running. A transaction that has committed is not affected. */
     public rollBack(transaction: number): void {
         const held = this.transactions.get(transaction);
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -97,6 +97,8 @@
                 return this.send(lineSocket, { kind: handler.acceptsService(message.service) ? "ready" : "declined", call: message.call });
             case "cancel":
                 return handler.cancel(message.call);
+            case "quota":
+                return this.send(lineSocket, handler.grant(message));
             case "roll-back":
                 return handler.rollBack(message.transaction);
             case "run":
--- a/packages/relay/src/testing/relayTestBed.ts
+++ b/packages/relay/src/testing/relayTestBed.ts
@@ -15,6 +15,8 @@
 import { StatementKind } from "@vanillarouter/session/model/statementKind";
 import { StoreChange } from "@vanillarouter/session/model/storeChange";
 import { DecisionLog } from "@vanillarouter/session/observability/decisionLog";
+import { QuotaGrant } from "@vanillarouter/session/quota/quotaGrant";
+import { QuotaRequest } from "@vanillarouter/session/quota/quotaRequest";
 import * as bunyan from "bunyan";
 import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
 import { ChangeFollower } from "../changeFollower";
@@ -41,6 +43,7 @@
     readonly changeLog: ChangeLog;
     /** The configuration that the gateway reads from the store. */
     configuration: StoreChange | undefined;
+    grantTokens: (request: QuotaRequest) => QuotaGrant;
 }
 
 /** A test fixture with one entry VM and several gateways on loopback, each behind a proxy that can drop bytes or close connections. */
@@ -136,6 +139,7 @@
                     changeLog,
                     this.clock,
                     ({ revision }) => readNewer(gateway.configuration, revision),
+                    request => gateway.grantTokens(request),
                 ),
         );
         const listener = server.createServer();
@@ -150,6 +154,7 @@
             declines: false,
             changeLog,
             configuration: undefined,
+            grantTokens: ({ count }) => ({ count, retryMs: 0 }),
         };
         for (const opened of [listener, gateway.proxy]) await new Promise<void>(resolve => opened.listen(0, host, resolve));
         this.gateways.push(gateway);
