Limit what the callers of a VM hold, and read ahead only as fast as responses leave

Incoming text was concatenated with each piece and held without a bound over all connections, responses queued up for callers that do not read, session values grew, and connections were not counted. Each could exhaust the heap or the descriptors.

Incomplete messages are now in blocks that are reused and counted. A budget for all callers closes the connections that have held most for longest, bounds large statements in execution, and has time limits for login, messages and responses.

--- a/packages/base/src/channel.ts
+++ b/packages/base/src/channel.ts
@@ -28,6 +28,11 @@
         this.values.push(value);
     }
 
+    /** Removes and returns the values that wait to be received. */
+    public takeAll(): readonly T[] {
+        return this.values.splice(0);
+    }
+
     /** Waits for the next value. */
     public receive(): Operation<T> {
         return perform<T>({
--- a/packages/base/src/lineSocket.ts
+++ b/packages/base/src/lineSocket.ts
@@ -1,30 +1,66 @@
 import { Socket } from "node:net";
+import { BlockPool } from "./blockPool";
+import { BlockText } from "./blockText";
+import { BudgetedConnection } from "./budgetedConnection";
 import { Channel } from "./channel";
+import { CloseReason } from "./closeReason";
+import { ConnectionBudget } from "./connectionBudget";
+import { GarbageCollection } from "./garbageCollection";
 import { Operation } from "./operation";
+import { Signal } from "./signal";
 
 const defaultMaxLineBytes = 1_048_576;
-const pauseThresholdLines = 64;
+/** Lines and bytes that are read ahead. */
+const maxQueuedLines = 64;
+const maxReadAheadBytes = 65_536;
+/** Copies of a large line that its decoding and execution make. */
+const copiesPerLine = 2;
+const terminator = "\r\n";
+const carriageReturn = 13;
+const lineFeed = 10;
 
-/** A TCP connection that carries lines terminated by CR LF. Text is decoded and encoded as Latin-1, which preserves every byte. */
-export class LineSocket {
-    private readonly lines = Channel.create<string | undefined>();
+/**
+ * A TCP connection that carries lines terminated by CR LF. Text is decoded and encoded as Latin-1, which preserves every byte.
+ *
+ * A connection with a budget counts what it holds towards it, and reads ahead only as fast as its responses are read.
+ */
+export class LineSocket implements BudgetedConnection {
+    /** Lines that came in pieces stay in their blocks until they are received. */
+    private readonly lines = Channel.create<string | BlockText | undefined>();
     private readonly closeListeners: (() => void)[] = [];
-    private partialLine = "";
+    private readonly drained = Signal.create<void>();
+    private readonly partialLine = BlockText.create();
     private closed = false;
+    private queuedBytes = 0;
+    private unsentBytes = 0;
+    private sessionBytes = 0;
+    private reportedBytes = 0;
+    /** Bytes of the line in execution that the budget counts. */
+    private servedBytes = 0;
+    private hasReceivedLine = false;
+    private isExecuting = false;
+    /** Whether a budget lets this connection read ahead only a little, because a line is executed or its response has not left. */
+    private isHeldBack = false;
+    private isBacklogged = false;
+    private isPaused = false;
+    private isMeasuring = false;
 
-    private constructor(private readonly socket: Socket, private readonly maxLineBytes: number) {
+    private constructor(private readonly socket: Socket, private readonly maxLineBytes: number, private readonly budget: ConnectionBudget | undefined) {
         socket.setNoDelay(true);
         socket.setKeepAlive(true, 1000);
-        socket.setEncoding("latin1");
-        socket.on("data", data => this.queueLines(data as unknown as string));
-        socket.on("end", () => this.close());
-        socket.on("error", () => this.close());
-        socket.on("close", () => this.close());
+        socket.on("data", data => this.queueLines(data));
+        socket.on("end", () => this.abandon());
+        socket.on("error", () => this.abandon());
+        socket.on("close", () => this.abandon());
+        if (budget === undefined) return;
+        socket.on("drain", () => this.handleDrain());
+        socket.on("close", () => budget.remove(this));
+        budget.add(this);
     }
 
     /** Wraps a socket. The connection is closed if more than `maxLineBytes` bytes arrive without a line terminator. */
-    public static create(socket: Socket, maxLineBytes = defaultMaxLineBytes): LineSocket {
-        return new LineSocket(socket, maxLineBytes);
+    public static create(socket: Socket, maxLineBytes = defaultMaxLineBytes, budget?: ConnectionBudget): LineSocket {
+        return new LineSocket(socket, maxLineBytes, budget);
     }
 
     public get isOpen(): boolean {
@@ -35,29 +71,86 @@
         return `${this.socket.remoteAddress}:${this.socket.remotePort}`;
     }
 
+    public get isLoggedIn(): boolean {
+        return this.hasReceivedLine;
+    }
+
+    public get isEnded(): boolean {
+        return this.closed;
+    }
+
+    public get isServing(): boolean {
+        return this.isExecuting;
+    }
+
+    public get isReceiving(): boolean {
+        return this.partialLine.length > 0 && !this.isPaused;
+    }
+
+    public get heldBytes(): number {
+        return this.partialLine.heldBytes + this.queuedBytes + this.unsentBytes + this.sessionBytes;
+    }
+
+    public get sentWhileWaiting(): number | undefined {
+        return this.isBacklogged || this.closed ? this.socket.bytesWritten - this.socket.writableLength : undefined;
+    }
+
     /** Waits for the next line and returns it without its terminator; undefined if the connection has closed. */
     public *receive(): Operation<string | undefined> {
+        this.finishServing();
+        while (this.isBacklogged && !this.closed) yield* this.drained.wait();
+        this.isHeldBack = false;
+        this.resumeReading();
         if (this.closed && this.lines.size === 0) return undefined;
-        const line = yield* this.lines.receive();
-        if (this.socket.isPaused() && this.lines.size < pauseThresholdLines) this.socket.resume();
+        const queued = yield* this.lines.receive();
+        if (queued === undefined) return undefined;
+        const line = typeof queued === "string" ? queued : yield* this.decode(queued);
+        if (line === undefined) return undefined;
+        this.queuedBytes -= line.length;
+        this.hasReceivedLine = true;
+        this.isExecuting = true;
+        this.isHeldBack = this.budget !== undefined;
+        if (line.length + this.sessionBytes >= BlockPool.blockBytes) this.reportHeld();
+        this.resumeReading();
         return line;
     }
 
     public send(text: string): void {
-        if (!this.closed) this.socket.write(text, "latin1");
+        if (text.length >= BlockPool.blockBytes) GarbageCollection.record(text.length);
+        if (this.closed || this.socket.write(text, "latin1") || this.budget === undefined) return;
+        this.isBacklogged = true;
+        if (this.isMeasuring) return;
+        this.isMeasuring = true;
+        // Only then is it known how much the operating system did not take.
+        setImmediate(() => this.measureUnsent());
+    }
+
+    /** Tells the budget how many bytes the owner holds for the caller between its statements. */
+    public setSessionBytes(bytes: number): void {
+        this.sessionBytes = bytes;
+        this.reportHeld();
     }
 
     /** Closes the connection after the buffered data has been sent. */
     public end(): void {
+        this.finishServing();
         if (this.closed) return;
         this.socket.end();
         this.markClosed();
     }
 
     public close(): void {
-        if (this.closed) return;
+        this.finishServing();
+        this.abandon();
+    }
+
+    public closeForLimit(): void {
+        for (const line of this.lines.takeAll()) {
+            if (line instanceof BlockText) line.clear();
+        }
+        this.queuedBytes = 0;
         this.socket.destroy();
-        this.markClosed();
+        if (!this.closed) this.markClosed();
     }
 
     public onClosed(listener: () => void): void {
@@ -65,22 +158,106 @@
         else this.closeListeners.push(listener);
     }
 
+    private abandon(): void {
+        if (this.closed) return;
+        this.socket.destroy();
+        this.markClosed();
+    }
+
     private markClosed(): void {
         this.closed = true;
+        this.partialLine.clear();
         this.lines.send(undefined);
+        this.reportHeld();
+        this.drained.notifyAll();
         for (const listener of this.closeListeners) listener();
     }
 
-    private queueLines(receivedText: string): void {
+    /** Waits until the budget admits a large line. Returns undefined if the connection has closed by then. */
+    private *decode(queued: BlockText): Operation<string | undefined> {
+        GarbageCollection.record(queued.length * copiesPerLine);
+        if (this.budget === undefined) return queued.take();
+        this.servedBytes = yield* this.budget.startServing(queued.length + this.sessionBytes);
+        if (!this.closed) return queued.take();
+        queued.clear();
+        this.finishServing();
+        return undefined;
+    }
+
+    private finishServing(): void {
+        this.isExecuting = false;
+        if (this.servedBytes === 0) return;
+        this.budget?.finishServing(this.servedBytes);
+        this.servedBytes = 0;
+    }
+
+    private queueLines(data: Buffer): void {
+        if (data.length >= BlockPool.blockBytes) GarbageCollection.record(data.length);
         if (this.closed) return;
-        const text = this.partialLine + receivedText;
+        const start = this.partialLine.length === 0 ? 0 : this.completePartialLine(data);
+        if (start < data.length) this.queueWholeLines(data, start);
+        if (this.partialLine.length > this.maxLineBytes) return this.closeOverlong();
+        if (this.heldBytes >= BlockPool.blockBytes) this.reportHeld();
+        if (this.closed || !this.mustPause) return;
+        this.isPaused = true;
+        this.socket.pause();
+    }
+
+    /** Completes the partial line if its end has arrived. Returns how many bytes of `data` belonged to it. */
+    private completePartialLine(data: Buffer): number {
+        const isSplitTerminator = data[0] === lineFeed && this.partialLine.lastByte === carriageReturn;
+        const end = isSplitTerminator ? 0 : data.indexOf(terminator, 0, "latin1");
+        this.partialLine.append(data, 0, end < 0 ? data.length : end);
+        if (end < 0) return data.length;
+        if (isSplitTerminator) this.partialLine.dropLastByte();
+        this.queuedBytes += this.partialLine.length;
+        this.lines.send(this.partialLine.length < BlockPool.blockBytes ? this.partialLine.take() : this.partialLine.moveToNew());
+        return isSplitTerminator ? 1 : end + terminator.length;
+    }
+
+    private queueWholeLines(data: Buffer, dataStart: number): void {
+        const text = data.toString("latin1", dataStart);
         let start = 0;
-        for (let end = text.indexOf("\r\n"); end >= 0; end = text.indexOf("\r\n", start)) {
+        for (let end = text.indexOf(terminator); end >= 0 && !this.closed; end = text.indexOf(terminator, start)) {
+            this.queuedBytes += end - start;
             this.lines.send(text.slice(start, end));
-            start = end + 2;
+            start = end + terminator.length;
         }
-        this.partialLine = text.slice(start);
-        if (this.partialLine.length > this.maxLineBytes) this.close();
-        else if (this.lines.size > pauseThresholdLines) this.socket.pause();
+        if (!this.closed && dataStart + start < data.length) this.partialLine.append(data, dataStart + start, data.length);
+    }
+
+    private closeOverlong(): void {
+        if (this.budget === undefined) this.abandon();
+        else this.budget.close(this, CloseReason.MessageLength);
+    }
+
+    private get mustPause(): boolean {
+        const partialBytes = this.isHeldBack ? this.partialLine.length : 0;
+        return this.lines.size > maxQueuedLines || this.queuedBytes + partialBytes > maxReadAheadBytes;
+    }
+
+    private resumeReading(): void {
+        if (!this.isPaused || this.mustPause) return;
+        this.isPaused = false;
+        this.socket.resume();
+    }
+
+    private reportHeld(): void {
+        if (this.budget === undefined || Math.abs(this.heldBytes - this.reportedBytes) < BlockPool.blockBytes) return;
+        this.reportedBytes = this.heldBytes;
+        this.budget.update(this);
+    }
+
+    private measureUnsent(): void {
+        this.isMeasuring = false;
+        this.unsentBytes = this.socket.writableLength;
+        this.reportHeld();
+    }
+
+    private handleDrain(): void {
+        this.isBacklogged = false;
+        this.unsentBytes = 0;
+        this.reportHeld();
+        this.drained.notifyAll();
     }
 }
--- a/packages/session/src/entry/callerSession.ts
+++ b/packages/session/src/entry/callerSession.ts
@@ -114,14 +114,14 @@
         }
         switch (statement.kind) {
             case StatementKind.SetValue:
-                this.sessionValues.values.set(statement.name, statement.argument);
-                return this.sendEmptySuccess();
+                this.sessionValues.setValue(statement.name, statement.argument);
+                return this.acknowledgeSessionChange();
             case StatementKind.Prepare:
-                this.sessionValues.prepared.set(statement.name, { shape: statement.argument, readOnly: statement.readOnly });
-                return this.sendEmptySuccess();
+                this.sessionValues.prepare(statement.name, { shape: statement.argument, readOnly: statement.readOnly });
+                return this.acknowledgeSessionChange();
             case StatementKind.Deallocate:
-                this.sessionValues.prepared.delete(statement.name);
-                return this.sendEmptySuccess();
+                this.sessionValues.deallocate(statement.name);
+                return this.acknowledgeSessionChange();
             case StatementKind.Begin:
                 return this.begin(statement, receivedAt);
             case StatementKind.Rollback:
@@ -138,6 +138,11 @@
         this.channel.sendSuccess([], undefined, this.transactionState);
     }
 
+    private acknowledgeSessionChange(): void {
+        this.channel.recordSessionLength(this.sessionValues.length);
+        this.sendEmptySuccess();
+    }
+
     private begin(statement: CallerStatement, receivedAt: number): void {
         if (this.transactionState !== TransactionState.Idle) return this.sendOutcome(createFailedOutcome(ErrorKind.Malformed, Diagnostics.malformedStatement));
         const workClass = this.findClass();
--- a/packages/session/src/model/callerChannel.ts
+++ b/packages/session/src/model/callerChannel.ts
@@ -11,6 +11,8 @@
     readonly credential: string | undefined;
     /** Waits for the next statement. Returns undefined when the caller has disconnected. */
     receive(): Operation<CallerStatement | undefined>;
+    /** Reports the total length of the session values and prepared statements that are held for the caller. */
+    recordSessionLength(length: number): void;
     /** Accepts the login or ends a response, reporting the transaction state of the session. */
     sendReady(state: TransactionState): void;
     /** Responds to a statement. `receipt` is undefined for statements that no upstream ran. */
--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -11,6 +11,7 @@
     vanillarouter_relayed_total: "Calls of gateways by service and outcome.",
     vanillarouter_store_calls_total: "Calls to the platform's store by kind and answer.",
     vanillarouter_store_changes_total: "Changes of the platform's store by whether they were newer than the known state.",
+    vanillarouter_callers_closed_total: "Connections of callers that were closed for exceeding a limit, by limit.",
     vanillarouter_promotions_total: "Promotions by service and outcome.",
 };
 
