Limit what the callers of the daemon hold together

Each connection was limited by itself (16 statements of a mebibyte, one response), all together were not. The daemon now uses the budget of the VM program, reads a connection only while few of its statements wait, executes a bounded number of bytes at a time and refuses a statement over the limit when its header arrives. What a closed connection holds is dropped at once, since the event of its closing comes only after all other sockets have been read; this holds for LineSocket too, where a waiting line was kept.

Garbage is no longer collected on request above half of the heap limit: V8 ended the daemon because of collections in quick succession near its limit.

--- a/packages/base/src/connectionBudget.ts
+++ b/packages/base/src/connectionBudget.ts
@@ -108,11 +108,12 @@
         this.onClosed(connection, reason, heldBytes);
     }
 
-    /** Sweeps periodically. */
-    public *run(clock: Clock): Operation<never> {
+    /** Sweeps once a second, and calls `onSwept` after each sweep. */
+    public *run(clock: Clock, onSwept: () => void = () => undefined): Operation<never> {
         for (;;) {
             yield* sleep(clock, sweepIntervalMs);
             this.sweep();
+            onSwept();
         }
     }
 
--- a/packages/base/src/lineSocket.ts
+++ b/packages/base/src/lineSocket.ts
@@ -30,6 +30,8 @@
     private readonly closeListeners: (() => void)[] = [];
     private readonly drained = Signal.create<void>();
     private readonly partialLine = BlockText.create();
+    /** A large line that waits for its execution. */
+    private waitingLine: BlockText | undefined;
     private closed = false;
     private queuedBytes = 0;
     private unsentBytes = 0;
@@ -148,6 +150,7 @@
         for (const line of this.lines.takeAll()) {
             if (line instanceof BlockText) line.clear();
         }
+        this.waitingLine?.clear();
         this.queuedBytes = 0;
         this.socket.destroy();
         if (!this.closed) this.markClosed();
@@ -177,7 +180,9 @@
     private *decode(queued: BlockText): Operation<string | undefined> {
         GarbageCollection.record(queued.length * copiesPerLine);
         if (this.budget === undefined) return queued.take();
+        this.waitingLine = queued;
         this.servedBytes = yield* this.budget.startServing(queued.length + this.sessionBytes);
+        this.waitingLine = undefined;
         if (!this.closed) return queued.take();
         queued.clear();
         this.finishServing();
--- a/packages/caller/src/callerCommand.ts
+++ b/packages/caller/src/callerCommand.ts
@@ -6,6 +6,8 @@
     readonly text: string;
     /** Arrival time on the VM's clock, in milliseconds. */
     readonly arrivedAt: number;
+    /** Length of the packet in bytes. */
+    readonly bytes: number;
     /** Whether the packet exceeded the size limit; `text` is empty then. */
     readonly isTooLarge: boolean;
 }
--- a/packages/caller/src/callerConnection.ts
+++ b/packages/caller/src/callerConnection.ts
@@ -1,6 +1,9 @@
+import { BudgetedConnection } from "@vanillarouter/base/budgetedConnection";
 import { Channel } from "@vanillarouter/base/channel";
+import { ConnectionBudget } from "@vanillarouter/base/connectionBudget";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
+import { GarbageCollection } from "@vanillarouter/base/garbageCollection";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { Task } from "@vanillarouter/base/task";
 import { Diagnostics as RoutingDiagnostics } from "@vanillarouter/routing/diagnostics";
@@ -26,6 +29,14 @@
 const maxPendingCommands = 16;
 /** Maximum number of bytes that Node reads from a socket at once. */
 const readChunkBytes = 65_536;
+/** Bytes of commands that are read ahead, apart from the last one. */
+const maxReadAheadBytes = 65_536;
+/** Memory that each piece of an incomplete packet takes beside its bytes. */
+const bytesPerPiece = 256;
+/** Changes of the held bytes that are not reported to the budget. */
+const minReportedBytes = 16_384;
+/** Copies of a large statement that its decoding and execution make. */
+const copiesPerStatement = 3;
 /** Time that a caller has to close its side of a connection before the socket is destroyed. */
 const closeGraceMs = 1000;
 /** Idle time after which the first TCP keep-alive probe is sent. */
@@ -40,13 +51,18 @@
 ]);
 
 /** One connection of a caller, from the handshake until it is closed. No input on it can affect another connection. */
-export class CallerConnection {
+export class CallerConnection implements BudgetedConnection {
     private readonly commands = Channel.create<CallerCommand>();
     private runner: CommandRunner | undefined;
     private task: Task<void> | undefined;
     private cancelLoginTimer: () => void;
     private bytesSinceLastPacket = 0;
     private isClosing = false;
+    private queuedBytes = 0;
+    private unsentBytes = 0;
+    private reportedBytes = 0;
+    private isBlocked = false;
+    private isPaused = false;
     private isDraining = false;
 
     private constructor(
@@ -55,6 +71,7 @@
         private readonly id: number,
         private readonly createRequestId: () => string,
         private readonly onClosed: (closed: CallerConnection) => void,
+        private readonly budget: ConnectionBudget,
     ) {
         const timeoutMs = services.limits.loginTimeoutMs;
         const handleLoginTimeout = (): void => this.closeWithFailure(createFailure(Diagnostics.loginTimedOut, RunOutcome.DidNotRun, timeoutMs));
@@ -68,12 +85,53 @@
         id: number,
         createRequestId: () => string,
         onClosed: (closed: CallerConnection) => void,
+        budget: ConnectionBudget,
     ): CallerConnection {
-        const created = new CallerConnection(connection, services, id, createRequestId, onClosed);
+        const created = new CallerConnection(connection, services, id, createRequestId, onClosed, budget);
+        budget.add(created);
         created.start();
         return created;
     }
 
+    public get remoteAddress(): string {
+        return `${this.connection.stream.remoteAddress}:${this.connection.stream.remotePort}`;
+    }
+
+    public get isLoggedIn(): boolean {
+        return this.runner !== undefined;
+    }
+
+    public get isEnded(): boolean {
+        return this.isClosing;
+    }
+
+    public get isServing(): boolean {
+        return this.runner?.isServing === true;
+    }
+
+    public get isReceiving(): boolean {
+        return this.connection.packetParser.bufferLength > 0 && !this.isPaused;
+    }
+
+    public get heldBytes(): number {
+        const { buffer, bufferLength } = this.connection.packetParser;
+        return bufferLength + buffer.length * bytesPerPiece + this.queuedBytes + this.unsentBytes;
+    }
+
+    public get sentWhileWaiting(): number | undefined {
+        const { stream } = this.connection;
+        return this.isBlocked ? stream.bytesWritten - stream.writableLength : undefined;
+    }
+
+    /** Drops at once what the connection holds: the event of a closed stream comes only after the other sockets have been read. */
+    public closeForLimit(): void {
+        this.isClosing = true;
+        this.commands.takeAll();
+        this.dropPartialPacket();
+        this.task?.cancel();
+        this.destroy();
+    }
+
     /** Closes the connection as soon as no statement and no transaction is in progress on it. */
     public drain(): void {
         this.isDraining = true;
@@ -120,13 +178,18 @@
     }
 
     /**
-     * Limits the number of bytes that `mysql2` buffers for an incomplete packet. `mysql2` handles each chunk before this method
+     * Limits the number of bytes that `mysql2` buffers for an incomplete packet. After the login, one whose header states a longer
+     * length is refused at once. `mysql2` handles each chunk before this method
      * counts it, so the count may include up to one chunk of packets that are already complete.
      */
     private limitBufferedBytes(count: number): void {
+        if (count >= minReportedBytes) GarbageCollection.record(count);
+        this.reportHeld();
         this.bytesSinceLastPacket += count;
         const maxBytes = this.runner === undefined ? readChunkBytes : this.services.limits.maxStatementBytes + readChunkBytes;
-        if (this.bytesSinceLastPacket <= maxBytes) return;
+        const { bufferLength, length } = this.connection.packetParser;
+        const isStatedTooLong = this.runner !== undefined && bufferLength > 0 && length > maxBytes;
+        if (this.bytesSinceLastPacket <= maxBytes && !isStatedTooLong) return;
         if (this.runner !== undefined) this.connection.sequenceId = 1;
         this.closeWithFailure(createFailure(Diagnostics.statementTooLarge, RunOutcome.DidNotRun, maxBytes - readChunkBytes));
     }
@@ -178,7 +241,44 @@
         const isTooLarge = packet.length() > this.services.limits.maxStatementBytes + protocolConstants.headerBytes;
         const hasText = !isTooLarge && (code === CommandCode.Query || code === CommandCode.InitDatabase);
         const text = hasText ? packet.readString(undefined, this.connection.clientHelloReply?.encoding ?? "utf8") : "";
-        this.commands.send({ code, text, arrivedAt: this.services.clock.now(), isTooLarge });
+        const bytes = packet.length();
+        if (bytes >= minReportedBytes) GarbageCollection.record(bytes * copiesPerStatement);
+        this.queuedBytes += bytes;
+        this.commands.send({ code, text, bytes, arrivedAt: this.services.clock.now(), isTooLarge });
+        if (this.queuedBytes <= maxReadAheadBytes) return;
+        this.isPaused = true;
+        this.connection.stream.pause();
+    }
+
+    private handleCommandStarted({ bytes }: CallerCommand): void {
+        this.queuedBytes -= bytes;
+        this.reportHeld();
+        if (!this.isPaused || this.queuedBytes > maxReadAheadBytes) return;
+        this.isPaused = false;
+        this.connection.stream.resume();
+    }
+
+    private handleBlocked(): void {
+        this.isBlocked = true;
+        // Only then is it known how much the operating system did not take.
+        setImmediate(() => {
+            this.unsentBytes = this.isBlocked ? this.connection.stream.writableLength : 0;
+            this.reportHeld();
+        });
+    }
+
+    private handleResponded(): void {
+        this.isBlocked = false;
+        this.unsentBytes = 0;
+        this.reportHeld();
+        this.closeIfDrained();
+    }
+
+    private reportHeld(): void {
+        const { heldBytes } = this;
+        if (Math.abs(heldBytes - this.reportedBytes) < minReportedBytes) return;
+        this.reportedBytes = heldBytes;
+        this.budget.update(this);
     }
 
     private finishLogin(attempt: LoginAttempt): void {
@@ -191,7 +291,11 @@
         this.connection.writePacket(encodeOkPacket(0, 0, protocolConstants.statusAutocommit, ""));
         this.connection.sequenceId = 0;
         this.runner = runner.val;
-        this.task = Task.start(this.runner.run(this.commands, () => this.closeIfDrained()));
+        this.task = Task.start(this.runner.run(this.commands, {
+            onStarted: command => this.handleCommandStarted(command),
+            onBlocked: () => this.handleBlocked(),
+            onResponded: () => this.handleResponded(),
+        }));
         this.task.onSettled(() => this.close());
     }
 
@@ -213,7 +317,7 @@
         const database = attempt.database ?? "";
         const databaseSelected = database === "" ? Ok(undefined) : state.selectDatabase(database);
         if (databaseSelected.err) return databaseSelected;
-        return Ok(CommandRunner.create(this.connection, this.services, state, session, account.defaultClass, this.createRequestId));
+        return Ok(CommandRunner.create(this.connection, this.services, state, session, account.defaultClass, this.createRequestId, this.budget));
     }
 
     private selectEncoding(name: string): Result<void, Failure> {
@@ -243,15 +347,24 @@
         this.isClosing = true;
         const { stream } = this.connection;
         stream.removeAllListeners("data");
+        stream.on("data", chunk => GarbageCollection.record(chunk.length));
+        this.dropPartialPacket();
+        this.reportHeld();
         stream.resume();
         stream.end();
         const cancelTimer = this.services.clock.startTimer(closeGraceMs, () => stream.destroy());
         stream.on("close", cancelTimer);
     }
 
+    private dropPartialPacket(): void {
+        this.connection.packetParser.buffer.length = 0;
+        this.connection.packetParser.bufferLength = 0;
+    }
+
     private handleStreamClosed(): void {
         this.isClosing = true;
         this.cancelLoginTimer();
+        this.budget.remove(this);
         this.task?.cancel();
         this.onClosed(this);
     }
--- a/packages/caller/src/commandRunner.ts
+++ b/packages/caller/src/commandRunner.ts
@@ -1,4 +1,5 @@
 import { Channel } from "@vanillarouter/base/channel";
+import { ConnectionBudget } from "@vanillarouter/base/connectionBudget";
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { Failure } from "@vanillarouter/base/failure";
 import { Operation } from "@vanillarouter/base/operation";
@@ -15,6 +16,7 @@
 import { CallerCommand } from "./callerCommand";
 import { CallerServices } from "./callerServices";
 import { CommandCode } from "./commandCode";
+import { CommandObserver } from "./commandObserver";
 import { ConnectionState } from "./connectionState";
 import { createTextResult } from "./createTextResult";
 import { Diagnostics } from "./diagnostics";
@@ -34,6 +36,7 @@
 /** Runs the commands of a logged-in connection one after another and writes their responses. */
 export class CommandRunner {
     private hasCommandInProgress = false;
+    private isServingCommand = false;
     /** A BEGIN received before a database was selected. It runs before the first statement that is sent to an upstream after the selection. */
     private deferredBegin: string | undefined;
 
@@ -44,6 +47,7 @@
         private readonly session: CallerSession,
         private readonly defaultClassAtLogin: string,
         private readonly createRequestId: () => string,
+        private readonly budget: ConnectionBudget,
     ) {}
 
     /** `defaultClassAtLogin` is the default class of the account at login. */
@@ -54,8 +58,9 @@
         session: CallerSession,
         defaultClassAtLogin: string,
         createRequestId: () => string,
+        budget: ConnectionBudget,
     ): CommandRunner {
-        return new CommandRunner(connection, services, state, session, defaultClassAtLogin, createRequestId);
+        return new CommandRunner(connection, services, state, session, defaultClassAtLogin, createRequestId, budget);
     }
 
     /** Whether a command is in progress. */
@@ -63,21 +68,30 @@
         return this.hasCommandInProgress;
     }
 
+    /** Whether a command is executed, and neither waits nor has its response. */
+    public get isServing(): boolean {
+        return this.isServingCommand;
+    }
+
     /** Whether neither a command nor a transaction is in progress. */
     public get isIdle(): boolean {
         return !this.hasCommandInProgress && !this.inTransaction;
     }
 
-    /** Runs commands until cancelled, or until a command throws an unexpected error. Calls `onResponded` after each response. */
-    public *run(commands: Channel<CallerCommand>, onResponded: () => void): Operation<void> {
+    /** Runs commands until cancelled, or until a command throws an unexpected error. */
+    public *run(commands: Channel<CallerCommand>, observer: CommandObserver): Operation<void> {
         try {
             let canContinue = true;
             while (canContinue) {
                 const command = yield* commands.receive();
                 this.hasCommandInProgress = true;
-                canContinue = yield* this.runAndRespond(command);
+                canContinue = yield* this.runWhenAdmitted(command, observer);
+                if (canContinue && this.connection.stream.writableNeedDrain) {
+                    observer.onBlocked();
+                    yield* this.waitUntilWritable();
+                }
                 this.hasCommandInProgress = false;
-                onResponded();
+                observer.onResponded();
             }
         }
         finally {
@@ -85,12 +99,25 @@
         }
     }
 
+    /** Waits until the budget admits the command. Returns whether the connection can run further commands. */
+    private *runWhenAdmitted(command: CallerCommand, observer: CommandObserver): Operation<boolean> {
+        const countedBytes = yield* this.budget.startServing(command.bytes);
+        try {
+            this.isServingCommand = true;
+            observer.onStarted(command);
+            return yield* this.runAndRespond(command);
+        }
+        finally {
+            this.isServingCommand = false;
+            this.budget.finishServing(countedBytes);
+        }
+    }
+
     /** Returns whether the connection can run further commands. */
     private *runAndRespond(command: CallerCommand): Operation<boolean> {
         try {
             const response = yield* this.runCommand(command);
             this.writeResponse(command, response);
-            if (this.connection.stream.writableNeedDrain) yield* this.waitUntilWritable();
             return true;
         }
         catch (err) {
--- a/packages/caller/src/serverConnection.ts
+++ b/packages/caller/src/serverConnection.ts
@@ -7,6 +7,8 @@
 /** The parts of a server-side connection of `mysql2` that this package uses; its type declarations omit most of them. */
 export interface ServerConnection {
     readonly stream: Socket;
+    /** Holds the pieces of an incomplete packet, and the length that its header states. */
+    readonly packetParser: { readonly buffer: unknown[]; bufferLength: number; readonly length: number; };
     /** Sequence id of the next packet in either direction. */
     sequenceId: number;
     /** Called with each complete packet. This package replaces it to check packets before `mysql2` handles them. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -28,6 +28,7 @@
 import { readFileSync } from "node:fs";
 import { Err, Ok, Result } from "ts-results";
 import { CoordinatorHost } from "./coordinatorHost";
+import { createCallerLimits } from "./createCallerLimits";
 import { DaemonAddresses } from "./daemonAddresses";
 import { DaemonSettings } from "./daemonSettings";
 import { DaemonView } from "./daemonView";
@@ -135,7 +136,8 @@
         const coordinators = CoordinatorHost.create({ clock, random, node, connector, groups, logger });
         const tokenKey = createHmac("sha256", settings.cluster.key).update("session token").digest();
         const entry = EntryService.create({ clock, random, configuration, groups, owners: node.owners, tokenKey });
-        const listener = CallerListener.create({ configuration, sessionFactory: entry, clock, logger, counters: this.counters, limits: settings.caller });
+        const limits = createCallerLimits(settings.caller);
+        const listener = CallerListener.create({ configuration, sessionFactory: entry, clock, logger, counters: this.counters, limits });
         this.components = { groups, owners, coordinators, entry, listener };
         return { owner: owners, groups, shares: { collect: () => owners.exportShares(), learn: shares => owners.importShares(shares) } };
     }
--- a/packages/daemon/src/daemonMain.ts
+++ b/packages/daemon/src/daemonMain.ts
@@ -2,6 +2,7 @@
 import { createFailure } from "@vanillarouter/base/createFailure";
 import { createLogger } from "@vanillarouter/base/createLogger";
 import { Failure } from "@vanillarouter/base/failure";
+import { GarbageCollection } from "@vanillarouter/base/garbageCollection";
 import { readSettings } from "@vanillarouter/base/readSettings";
 import { RunOutcome } from "@vanillarouter/base/runOutcome";
 import { SystemClock } from "@vanillarouter/base/systemClock";
@@ -9,6 +10,7 @@
 import { Task } from "@vanillarouter/base/task";
 import * as bunyan from "bunyan";
 import { cac } from "cac";
+import { getHeapStatistics } from "node:v8";
 import { Daemon } from "./daemon";
 import { DaemonAddresses } from "./daemonAddresses";
 import { DaemonSettings } from "./daemonSettings";
@@ -20,6 +22,8 @@
 const defaultFile = "vanillarouter.json";
 const failureExitCode = 1;
 const usageExitCode = 2;
+/** Fraction of the heap limit after which garbage of large statements is collected. */
+const garbageHeapFraction = 0.03125;
 
 function exitWithFailure(failure: Failure, exitCode: number): never {
     process.stderr.write(`${program}: [vr-${failure.code}] ${failure.message}\n`);
@@ -51,6 +55,7 @@
 async function serve(settings: DaemonSettings): Promise<void> {
     const logger = createLogger(program, settings.log.level);
     logUnexpectedErrors(logger);
+    GarbageCollection.limitGarbage(getHeapStatistics().heap_size_limit * garbageHeapFraction);
     const daemon = Daemon.create({
         settings,
         clock: SystemClock.create(),
--- a/packages/daemon/src/daemonView.ts
+++ b/packages/daemon/src/daemonView.ts
@@ -32,6 +32,7 @@
 
 const counterHelp = {
     vr_caller_failures_total: "Failures answered to callers by code and outcome.",
+    vr_callers_closed_total: "Caller connections closed for exceeding a limit by limit.",
     vr_caller_refused_total: "Caller connections ended with a failure by code.",
 };
 
@@ -119,6 +120,7 @@
             createMetric("vr_retries_total", "counter", "Retries of statements.", entryMetrics.retries),
             createMetric("vr_outcome_resolutions_total", "counter", "Requests whose outcome was asked of the group.", entryMetrics.resolutions),
             createMetric("vr_caller_connections", "gauge", "Connections of callers.", listener.size),
+            createMetric("vr_caller_held_bytes", "gauge", "Bytes held for callers.", listener.heldBytes),
             createMetric("vr_owned_upstreams", "gauge", "Upstreams that this VM owns.", owners.owned.length),
             createMetric("vr_vm_links", "gauge", "Links that other VMs have open to this one.", running.countIncomingLinks()),
             createMetric("vr_configuration_version", "gauge", "Version of the configuration in force.", this.configurationVersion ?? 0),
--- a/packages/daemon/src/settingsSchema.ts
+++ b/packages/daemon/src/settingsSchema.ts
@@ -40,6 +40,10 @@
         maxStatementBytes: z.number().int().min(1024).max(16_000_000).default(1_048_576),
         /** At most 10 s, because `mysql2` closes a connection that stays silent for 10 s. */
         loginTimeoutMs: z.number().int().min(100).max(10_000).default(10_000),
+        /** Without it, 8% of the heap limit. */
+        maxHeldBytes: z.number().int().min(1_048_576).optional(),
+        messageTimeoutMs: z.number().int().min(1_000).max(maxTimeMs).default(60_000),
+        responseTimeoutMs: z.number().int().min(1_000).max(maxTimeMs).default(60_000),
     }),
     administration: z.strictObject({ host: address, port, credential: secret }),
     /** The secret key that all VMs share, and the certificates and private key for links between VMs. */
