--- a/packages/base/src/connectionBudget.ts
+++ b/packages/base/src/connectionBudget.ts
@@ -104,8 +104,8 @@
     public close(connection: BudgetedConnection, reason: CloseReason): void {
         const heldBytes = this.uses.get(connection)?.heldBytes ?? 0;
         this.remove(connection);
-        connection.closeForLimit();
         this.onClosed(connection, reason, heldBytes);
+        connection.closeForLimit();
     }
 
     /** Sweeps once a second, and calls `onSwept` after each sweep. */
--- a/packages/base/src/lineSocket.ts
+++ b/packages/base/src/lineSocket.ts
@@ -6,6 +6,7 @@
 import { CloseReason } from "./closeReason";
 import { ConnectionBudget } from "./connectionBudget";
 import { GarbageCollection } from "./garbageCollection";
+import { LineSplitter } from "./lineSplitter";
 import { Operation } from "./operation";
 import { Signal } from "./signal";
 
@@ -15,9 +16,6 @@
 const maxReadAheadBytes = 65_536;
 /** Copies of a large line that its decoding and execution make. */
 const copiesPerLine = 2;
-const terminator = "\r\n";
-const carriageReturn = 13;
-const lineFeed = 10;
 
 /**
  * A TCP connection that carries lines terminated by CR LF. Text is decoded and encoded as Latin-1, which preserves every byte.
@@ -29,7 +27,10 @@
     private readonly lines = Channel.create<string | BlockText | undefined>();
     private readonly closeListeners: (() => void)[] = [];
     private readonly drained = Signal.create<void>();
-    private readonly partialLine = BlockText.create();
+    private readonly splitter = LineSplitter.create(line => {
+        this.queuedBytes += line.length;
+        this.lines.send(line);
+    });
     /** A large line that waits for its execution. */
     private waitingLine: BlockText | undefined;
     private closed = false;
@@ -50,7 +51,7 @@
     private constructor(private readonly socket: Socket, private readonly maxLineBytes: number, private readonly budget: ConnectionBudget | undefined) {
         socket.setNoDelay(true);
         socket.setKeepAlive(true, 1000);
-        socket.on("data", data => this.queueLines(data));
+        socket.on("data", data => this.receiveData(data));
         socket.on("end", () => this.abandon());
         socket.on("error", () => this.abandon());
         socket.on("close", () => this.abandon());
@@ -86,11 +87,11 @@
     }
 
     public get isReceiving(): boolean {
-        return this.partialLine.length > 0 && !this.isPaused;
+        return this.splitter.partialLength > 0 && !this.isPaused;
     }
 
     public get heldBytes(): number {
-        return this.partialLine.heldBytes + this.queuedBytes + this.unsentBytes + this.sessionBytes;
+        return this.splitter.heldBytes + this.queuedBytes + this.unsentBytes + this.sessionBytes;
     }
 
     public get sentWhileWaiting(): number | undefined {
@@ -169,7 +170,7 @@
 
     private markClosed(): void {
         this.closed = true;
-        this.partialLine.clear();
+        this.splitter.stop();
         this.lines.send(undefined);
         this.reportHeld();
         this.drained.notifyAll();
@@ -196,48 +197,24 @@
         this.servedBytes = 0;
     }
 
-    private queueLines(data: Buffer): void {
+    private receiveData(data: Buffer): void {
         if (data.length >= BlockPool.blockBytes) GarbageCollection.record(data.length);
         if (this.closed) return;
-        const start = this.partialLine.length === 0 ? 0 : this.completePartialLine(data);
-        if (start < data.length) this.queueWholeLines(data, start);
-        if (this.partialLine.length > this.maxLineBytes) return this.closeOverlong();
+        this.splitter.push(data);
+        if (this.splitter.partialLength > this.maxLineBytes) return this.closeOverlong();
         if (this.heldBytes >= BlockPool.blockBytes) this.reportHeld();
         if (this.closed || !this.mustPause) return;
         this.isPaused = true;
         this.socket.pause();
     }
 
-    /** Completes the partial line if its end has arrived. Returns how many bytes of `data` belonged to it. */
-    private completePartialLine(data: Buffer): number {
-        const isSplitTerminator = data[0] === lineFeed && this.partialLine.lastByte === carriageReturn;
-        const end = isSplitTerminator ? 0 : data.indexOf(terminator, 0, "latin1");
-        this.partialLine.append(data, 0, end < 0 ? data.length : end);
-        if (end < 0) return data.length;
-        if (isSplitTerminator) this.partialLine.dropLastByte();
-        this.queuedBytes += this.partialLine.length;
-        this.lines.send(this.partialLine.length < BlockPool.blockBytes ? this.partialLine.take() : this.partialLine.moveToNew());
-        return isSplitTerminator ? 1 : end + terminator.length;
-    }
-
-    private queueWholeLines(data: Buffer, dataStart: number): void {
-        const text = data.toString("latin1", dataStart);
-        let start = 0;
-        for (let end = text.indexOf(terminator); end >= 0 && !this.closed; end = text.indexOf(terminator, start)) {
-            this.queuedBytes += end - start;
-            this.lines.send(text.slice(start, end));
-            start = end + terminator.length;
-        }
-        if (!this.closed && dataStart + start < data.length) this.partialLine.append(data, dataStart + start, data.length);
-    }
-
     private closeOverlong(): void {
         if (this.budget === undefined) this.abandon();
         else this.budget.close(this, CloseReason.MessageLength);
     }
 
     private get mustPause(): boolean {
-        const partialBytes = this.isHeldBack ? this.partialLine.length : 0;
+        const partialBytes = this.isHeldBack ? this.splitter.partialLength : 0;
         return this.lines.size > maxQueuedLines || this.queuedBytes + partialBytes > maxReadAheadBytes;
     }
 
