Let one large message at a time into the buffer of a link between VMs

Many large statements of callers stood in the buffer of a link at once; at 7 Mbit/s 7.8 MB of them delay pings, other callers' statements and changes of the store by 9 s, and a link that is silent for 0.6 s gets no new work.

--- a/packages/base/src/lineSocket.ts
+++ b/packages/base/src/lineSocket.ts
@@ -55,8 +55,8 @@
         socket.on("end", () => this.abandon());
         socket.on("error", () => this.abandon());
         socket.on("close", () => this.abandon());
-        if (budget === undefined) return;
         socket.on("drain", () => this.handleDrain());
+        if (budget === undefined) return;
         socket.on("close", () => budget.remove(this));
         budget.add(this);
     }
@@ -101,7 +101,7 @@
     /** Waits for the next line and returns it without its terminator; undefined if the connection has closed. */
     public *receive(): Operation<string | undefined> {
         this.finishServing();
-        while (this.isBacklogged && !this.closed) yield* this.drained.wait();
+        if (this.budget !== undefined) yield* this.waitUntilSent();
         this.isHeldBack = false;
         this.resumeReading();
         if (this.closed && this.lines.size === 0) return undefined;
@@ -120,14 +120,19 @@
 
     public send(text: string): void {
         if (text.length >= BlockPool.blockBytes) GarbageCollection.record(text.length);
-        if (this.closed || this.socket.write(text, "latin1") || this.budget === undefined) return;
+        if (this.closed || this.socket.write(text, "latin1")) return;
         this.isBacklogged = true;
-        if (this.isMeasuring) return;
+        if (this.isMeasuring || this.budget === undefined) return;
         this.isMeasuring = true;
         // Only then is it known how much the operating system did not take.
         setImmediate(() => this.measureUnsent());
     }
 
+    /** Waits until everything that was sent has left the process, or the connection has closed. */
+    public *waitUntilSent(): Operation<void> {
+        while (this.isBacklogged && !this.closed) yield* this.drained.wait();
+    }
+
     /** Tells the budget how many bytes the owner holds for the caller between its statements. */
     public setSessionBytes(bytes: number): void {
         this.sessionBytes = bytes;
--- a/packages/relay/src/relayLink.ts
+++ b/packages/relay/src/relayLink.ts
@@ -7,6 +7,7 @@
 import { withTimeout } from "@vanillarouter/base/withTimeout";
 import { decodeMessage } from "./decodeMessage";
 import { encodeMessage } from "./encodeMessage";
+import { LargeMessageTurns } from "./largeMessageTurns";
 import { RelayLimits } from "./relayLimits";
 import { RelayRequest } from "./relayRequest";
 import { RelayResponse } from "./relayResponse";
@@ -39,9 +40,11 @@
     private silentSince: number;
     private lastSentAt: number;
     private isSilent = false;
+    private readonly largeMessageTurns: LargeMessageTurns;
     private readonly fellSilent = Signal.create<undefined>();
 
     private constructor(private readonly socket: LineSocket, private readonly clock: Clock) {
+        this.largeMessageTurns = LargeMessageTurns.create(socket);
         this.silentSince = clock.now();
         this.lastSentAt = clock.now();
         socket.onClosed(() => this.resumeAllWithoutResponse());
@@ -143,8 +146,12 @@
     }
 
     public send(message: RelayRequest): void {
+        this.sendText(encodeMessage(message));
+    }
+
+    private sendText(text: string): void {
         this.lastSentAt = this.clock.now();
-        this.socket.send(encodeMessage(message));
+        this.socket.send(text);
     }
 
     public close(): void {
@@ -152,10 +159,13 @@
     }
 
     private *sendAndWait(call: number, message: RelayRequest): Operation<CallResponse | undefined> {
+        const text = encodeMessage(message);
+        yield* this.largeMessageTurns.wait(text.length);
+        if (!this.isOpen) return undefined;
         return yield* perform<CallResponse | undefined>({
             start: resume => {
                 this.responseHandlers.set(call, resume);
-                this.send(message);
+                this.sendText(text);
                 return () => this.responseHandlers.delete(call);
             },
         });
--- a/packages/relay/src/relayServer.ts
+++ b/packages/relay/src/relayServer.ts
@@ -7,6 +7,7 @@
 import { createServer, Server, Socket } from "node:net";
 import { decodeMessage } from "./decodeMessage";
 import { encodeMessage } from "./encodeMessage";
+import { LargeMessageTurns } from "./largeMessageTurns";
 import { RelayLimits } from "./relayLimits";
 import { RelayRequest } from "./relayRequest";
 import { RelayRequestHandler } from "./relayRequestHandler";
@@ -18,6 +19,7 @@
 interface EntryLink {
     readonly lineSocket: LineSocket;
     readonly handler: RelayRequestHandler;
+    readonly largeMessageTurns: LargeMessageTurns;
     lastReceivedAt: number;
 }
 
@@ -56,7 +58,7 @@
     private *serve(socket: Socket): Operation<void> {
         const lineSocket = LineSocket.create(socket, RelayLimits.maxMessageBytes);
         const handler = this.createRequestHandler();
-        const link = { lineSocket, handler, lastReceivedAt: this.clock.now() };
+        const link = { lineSocket, handler, largeMessageTurns: LargeMessageTurns.create(lineSocket), lastReceivedAt: this.clock.now() };
         this.links.add(link);
         try {
             for (;;) {
@@ -68,7 +70,7 @@
                     this.log.warn({ peer: lineSocket.remoteAddress }, "relay.message-unreadable");
                     return;
                 }
-                this.dispatch(message, handler, lineSocket);
+                this.dispatch(message, link);
             }
         }
         finally {
@@ -89,7 +91,8 @@
         }
     }
 
-    private dispatch(message: RelayRequest, handler: RelayRequestHandler, lineSocket: LineSocket): void {
+    private dispatch(message: RelayRequest, link: EntryLink): void {
+        const { handler, lineSocket } = link;
         switch (message.kind) {
             case "ping":
                 return this.send(lineSocket, { kind: "pong" });
@@ -98,25 +101,27 @@
             case "roll-back":
                 return handler.rollBack(message.transaction);
             case "run":
-                this.tasks.start(this.sendCountedResponse(lineSocket, handler.run(message)));
+                this.tasks.start(this.sendCountedResponse(link, handler.run(message)));
                 return;
             case "transact":
-                this.tasks.start(this.sendCountedResponse(lineSocket, handler.transact(message)));
+                this.tasks.start(this.sendCountedResponse(link, handler.transact(message)));
                 return;
             case "follow":
-                this.tasks.start(this.sendResponse(lineSocket, handler.follow(message)));
+                this.tasks.start(this.sendResponse(link, handler.follow(message)));
         }
     }
 
-    private *sendResponse(lineSocket: LineSocket, operation: Operation<RelayResponse>): Operation<void> {
-        this.send(lineSocket, yield* operation);
+    private *sendResponse(link: EntryLink, operation: Operation<RelayResponse>): Operation<void> {
+        const text = encodeMessage(yield* operation);
+        yield* link.largeMessageTurns.wait(text.length);
+        link.lineSocket.send(text);
     }
 
     /** Like `sendResponse`, but counted in `openOperations`, so that a graceful stop waits for it. */
-    private *sendCountedResponse(lineSocket: LineSocket, operation: Operation<RelayResponse>): Operation<void> {
+    private *sendCountedResponse(link: EntryLink, operation: Operation<RelayResponse>): Operation<void> {
         this.runningCalls++;
         try {
-            yield* this.sendResponse(lineSocket, operation);
+            yield* this.sendResponse(link, operation);
         }
         finally {
             this.runningCalls--;
