Reset a connection whose prepared statements have grown too long before another session uses it

The definitions of all statements that callers ever prepared stayed in the VM and at the upstream as long as the connection. The reset happens when a connection is taken over, never within a transaction. The new test fails without it.

--- a/packages/session/src/upstream/upstreamConnection.test.ts
+++ b/packages/session/src/upstream/upstreamConnection.test.ts
@@ -44,3 +44,18 @@
         { seed },
     );
 });
+
+// Guards against prepared statements of many sessions that pile up on a connection which is used for days,
+// and against a reset within a transaction, whose statements apply the session too.
+test("a connection with many long prepared statements is reset when it is taken over, and not before", () => {
+    const bed = TestBed.create();
+    const link = FakeLink.create(bed.fakeGroup.find("u1"), bed.clock);
+    const connection = UpstreamConnection.create(link);
+    for (let index = 0; index < 3; index++) bed.run(connection.prepare({ shape: `${index}${"x".repeat(100_000)}`, readOnly: true }));
+    assert.equal(bed.run(connection.applySession(SessionValues.create())), true);
+    assert.equal(link.preparedStatements.size, 3);
+    assert.equal(bed.run(connection.takeOver(SessionValues.create())), true);
+    assert.equal(link.preparedStatements.size, 0);
+    const name = bed.run(connection.prepare({ shape: "q", readOnly: true }))!;
+    assert.ok(link.preparedStatements.has(name));
+});
--- a/packages/session/src/upstream/upstreamConnection.ts
+++ b/packages/session/src/upstream/upstreamConnection.ts
@@ -10,6 +10,9 @@
 /** Setup commands need no statement slot at the upstream, so one that takes longer than this means a lost connection. */
 const setupTimeoutMs = 800;
 
+/** Length of the definitions of prepared statements above which a connection is reset before its next use. */
+const maxPreparedLength = 262_144;
+
 /** A pooled connection, which tracks the session values and prepared statements that it currently has at the upstream. */
 export class UpstreamConnection {
     public idleSince = 0;
@@ -17,6 +20,7 @@
     /** Names of the prepared statements at the upstream, by their definitions. */
     private readonly preparedNames = new Map<string, string>();
     private preparedCount = 0;
+    private preparedLength = 0;
 
     private constructor(public readonly link: UpstreamLink) {}
 
@@ -36,6 +40,18 @@
         return count;
     }
 
+    /**
+     * Like `applySession`, for a connection without an open transaction: it is reset first if the prepared statements of earlier
+     * sessions are too long together.
+     */
+    public *takeOver(session: SessionValues): Operation<boolean> {
+        if (this.preparedLength > maxPreparedLength) {
+            if (!(yield* this.runSetupCommand({ kind: CommandKind.Reset }))) return false;
+            this.clearSessionState();
+        }
+        return yield* this.applySession(session);
+    }
+
     /** Gives the connection exactly the session's values. On failure, closes the connection and returns false. */
     public *applySession(session: SessionValues): Operation<boolean> {
         const hasStaleValue = [...this.values.keys()].some(name => !session.values.has(name));
@@ -60,6 +76,7 @@
         const name = `p${++this.preparedCount}`;
         if (!(yield* this.runSetupCommand({ kind: CommandKind.Prepare, name, text: shape, readOnly }))) return undefined;
         this.preparedNames.set(definition, name);
+        this.preparedLength += definition.length;
         return name;
     }
 
@@ -85,5 +102,6 @@
     private clearSessionState(): void {
         this.values.clear();
         this.preparedNames.clear();
+        this.preparedLength = 0;
     }
 }
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -103,7 +103,7 @@
         while (!this.isClosed) {
             const connection = yield* this.obtainConnection(request);
             if (connection.err) return connection;
-            if (yield* connection.val.applySession(request.session)) return Ok(yield* operation(connection.val));
+            if (yield* connection.val.takeOver(request.session)) return Ok(yield* operation(connection.val));
             this.discard(connection.val);
         }
         return Err(ErrorKind.Other);
