--- a/packages/session/src/observability/collectMetrics.ts
+++ b/packages/session/src/observability/collectMetrics.ts
@@ -18,6 +18,7 @@
     vanillarouter_quota_admissions_total: "Operations of tenants with a quota by whether they were admitted or refused.",
     vanillarouter_quota_requests_total: "Requests for tokens by outcome: granted in part or whole, refused, or lost with their keeper.",
     vanillarouter_quota_grants_total: "Tokens that this VM granted as a keeper, and refused by reason.",
+    vanillarouter_callers_closed_total: "Connections of callers that were closed for exceeding a limit, by limit.",
     vanillarouter_promotions_total: "Promotions by service and outcome.",
 };
 
--- a/packages/session/src/testing/fakeCallerChannel.ts
+++ b/packages/session/src/testing/fakeCallerChannel.ts
@@ -15,6 +15,7 @@
     public isClosed = false;
     public readonly sendReady = (): void => void this.responses.push("ready");
     public readonly sendSuccess = (): void => void this.responses.push("ok");
+    public readonly recordSessionLength = (): void => undefined;
     public readonly forgetCredential = (): void => void (this.credential = undefined);
     private readonly closeListeners: (() => void)[] = [];
 
--- a/packages/session/src/upstream/upstreamPool.ts
+++ b/packages/session/src/upstream/upstreamPool.ts
@@ -145,7 +145,7 @@
                 if (obtained === undefined || obtained.err) return obtained;
                 connection = obtained.val;
             }
-            const isReady = yield* connection.applySession(request.session);
+            const isReady = yield* connection.takeOver(request.session);
             if (isReady && !hasCallerLeft(request)) return Ok(yield* operation(connection));
             if (isReady) {
                 this.returnConnection(connection);
