--- a/packages/session/src/quota/keeperAuthority.ts
+++ b/packages/session/src/quota/keeperAuthority.ts
@@ -12,6 +12,8 @@
  * parts, and after a gap only when all VMs have heard of it again.
  */
 export class KeeperAuthority {
+    /** Whether the configuration has tenants. Set by the keeper. */
+    public isNeeded = false;
     private renewal: { readonly sentAt: ClockReading; readonly era: number; } | undefined;
     private heldBackUntil = Number.NEGATIVE_INFINITY;
     private beganAt = Number.POSITIVE_INFINITY;
@@ -23,8 +25,6 @@
     private generation: number;
     private holdBacks = 0;
     private isLeaving = false;
-    /** Whether the configuration has tenants. */
-    public isNeeded = false;
 
     private constructor(private readonly clock: Clock, private readonly suspension: SuspensionDetector, private readonly readEra: () => number) {
         this.aliveAt = clock.now();
