--- a/review/standins-2/group.mjs
+++ b/review/standins-2/group.mjs
@@ -131,7 +131,11 @@
                 return finish("DONE -");
             case "READ":
                 this.group.record(`run ${this.id} ${id} ${text.slice(0, 60)}`);
-                return this.group.answerRead(this, item, rows => finish(rows.map(row => `ROW ${row}\r\n`).join("") + `DONE ${this.id}.${id}`));
+                return this.group.answerRead(this, item, rows => {
+                    if (Buffer.isBuffer(rows)) connection.socket.write(rows);
+                    else connection.send(...rows.map(row => `ROW ${row}`));
+                    finish(`DONE ${this.id}.${id}`);
+                });
             case "WRITE":
                 if (!this.isPrimary) return fail("READONLY");
                 this.group.record(`run ${this.id} ${id} ${text.slice(0, 60)}`);
@@ -195,7 +199,7 @@
     syncReplicas = 0;
     /** Called when a promotion has taken effect. */
     onPromoted = () => undefined;
-    /** Answers a READ: calls `send` with the rows. */
+    /** Answers a READ: calls `send` with the rows, or with a buffer of the encoded rows. */
     answerRead = (backend, item, send) => send([backend.log.flatMap(({ writes }) => writes).findLast(write => write.item === item)?.data ?? "empty"]);
 
     constructor(store, service, record) {
